--- /dev/null
+++ b/internal/ledger/book.go
@@ -0,0 +1,355 @@
+package ledger
+
+import (
+	"sort"
+	"time"
+)
+
+// Verdict is what the fold decided about one record.
+type Verdict string
+
+// Verdicts of the fold.
+const (
+	Accepted       Verdict = "accepted"
+	Duplicate      Verdict = "duplicate"
+	StaleEpoch     Verdict = "stale_epoch"
+	UnknownProgram Verdict = "unknown_program"
+	OutOfOrder     Verdict = "out_of_order"
+	AlreadyEnded   Verdict = "already_ended"
+	AlreadySettled Verdict = "already_settled"
+	OverBudget     Verdict = "over_budget"
+)
+
+// Slot is the ownership state of one slot.
+type Slot struct {
+	epoch       uint64
+	host        string
+	incarnation string
+	programs    map[string]*Program
+}
+
+// Epoch returns the highest epoch claimed, zero if none was.
+func (slot *Slot) Epoch() uint64 { return slot.epoch }
+
+// Host returns the name of the owner, empty if there is none.
+func (slot *Slot) Host() string { return slot.host }
+
+// Incarnation returns the owner's incarnation.
+func (slot *Slot) Incarnation() string { return slot.incarnation }
+
+// Programs returns the identifiers of the slot's programs in order.
+func (slot *Slot) Programs() []string {
+	ids := make([]string, 0, len(slot.programs))
+	for id := range slot.programs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Program is the agreed state of one program.
+type Program struct {
+	id        string
+	slot      int
+	open      Open
+	turns     int
+	head      Location
+	granted   int64
+	spent     int64
+	forfeited int64
+	ended     EndReason
+	intent    *Intent
+	refused   string
+	age       time.Duration
+	touched   int64
+}
+
+// ID returns the program's identifier.
+func (program *Program) ID() string { return program.id }
+
+// Slot returns the number of the slot that the program belongs to.
+func (program *Program) Slot() int { return program.slot }
+
+// Open returns the record that the program was opened with.
+func (program *Program) Open() Open { return program.open }
+
+// Turns returns the number of committed turns.
+func (program *Program) Turns() int { return program.turns }
+
+// Head returns the location of the last committed turn.
+func (program *Program) Head() Location { return program.head }
+
+// Granted returns the part of the budget that owners may spend, in tokens.
+func (program *Program) Granted() int64 { return program.granted }
+
+// Spent returns the settled tokens.
+func (program *Program) Spent() int64 { return program.spent }
+
+// Forfeited returns the granted tokens that earlier owners may have spent
+// without settling them.
+func (program *Program) Forfeited() int64 { return program.forfeited }
+
+// Ended returns the reason for the program's end, empty while it is open.
+func (program *Program) Ended() EndReason { return program.ended }
+
+// Intent returns the intent that has no outcome yet, nil if there is none.
+func (program *Program) Intent() *Intent { return program.intent }
+
+// Age returns how long the program had been open at its last turn.
+func (program *Program) Age() time.Duration { return program.age }
+
+// Touched returns the offset of the last record that changed the program.
+func (program *Program) Touched() int64 { return program.touched }
+
+// Book folds one ledger stream. It is not safe for concurrent use.
+type Book struct {
+	slots    [SlotCount]Slot
+	programs map[string]*Program
+	seen     *recentSet
+	next     int64
+}
+
+// recentRecords bounds the record identifiers kept against duplicates. A
+// duplicate that is older than that meets a later state of its program and is
+// refused by the rules of that state.
+const recentRecords = 16384
+
+// NewBook returns an empty fold.
+func NewBook() *Book {
+	book := &Book{programs: make(map[string]*Program), seen: newRecentSet(recentRecords)}
+	for index := range book.slots {
+		book.slots[index].programs = make(map[string]*Program)
+	}
+	return book
+}
+
+// Next returns the offset after the last one applied.
+func (book *Book) Next() int64 { return book.next }
+
+// Slot returns the state of one slot. The number must be below SlotCount.
+func (book *Book) Slot(number int) *Slot { return &book.slots[number] }
+
+// Program looks up a program.
+func (book *Book) Program(id string) (*Program, bool) {
+	program, ok := book.programs[id]
+	return program, ok
+}
+
+// Len returns the number of programs in the book.
+func (book *Book) Len() int { return len(book.programs) }
+
+// Forget drops a program that ended. It does nothing for an open one.
+func (book *Book) Forget(id string) {
+	program, ok := book.programs[id]
+	if !ok || program.ended == "" {
+		return
+	}
+	delete(book.programs, id)
+	delete(book.slots[program.slot].programs, id)
+}
+
+// Advance marks the offset as read, also when its append held no record.
+func (book *Book) Advance(offset int64) {
+	if offset >= book.next {
+		book.next = offset + 1
+	}
+}
+
+// Apply folds one record that was read at the offset.
+func (book *Book) Apply(offset int64, record Record) Verdict {
+	book.Advance(offset)
+	if !book.seen.add(record.ID) {
+		return Duplicate
+	}
+	slot := &book.slots[record.Slot]
+	switch {
+	case record.Claim != nil:
+		return book.applyClaim(slot, record)
+	case record.Outcome != nil:
+		return book.applyOutcome(offset, record)
+	case record.Epoch != slot.epoch:
+		return StaleEpoch
+	case record.Open != nil:
+		return book.applyOpen(offset, record)
+	case record.Carry != nil:
+		return book.applyCarry(offset, record)
+	}
+	program, ok := book.programs[record.Program]
+	if !ok || program.slot != record.Slot {
+		return UnknownProgram
+	}
+	verdict := book.applyProgram(program, record)
+	if verdict == Accepted {
+		program.touched = offset
+	}
+	return verdict
+}
+
+func (book *Book) applyClaim(slot *Slot, record Record) Verdict {
+	claim := record.Claim
+	if record.Epoch == slot.epoch && claim.Host == slot.host && claim.Incarnation == slot.incarnation {
+		return Accepted
+	}
+	if record.Epoch <= slot.epoch {
+		return StaleEpoch
+	}
+	slot.epoch = record.Epoch
+	slot.host = claim.Host
+	slot.incarnation = claim.Incarnation
+	for _, program := range slot.programs {
+		program.forfeited = program.granted - program.spent
+	}
+	return Accepted
+}
+
+func (book *Book) applyOpen(offset int64, record Record) Verdict {
+	if _, ok := book.programs[record.Program]; ok {
+		return Duplicate
+	}
+	if record.Open.Granted > record.Open.Budget {
+		return OverBudget
+	}
+	if record.Open.Root != record.Program {
+		root, ok := book.programs[record.Open.Root]
+		if !ok || root.slot != record.Slot {
+			return UnknownProgram
+		}
+		if root.ended != "" {
+			return AlreadyEnded
+		}
+	}
+	book.insert(&Program{
+		id: record.Program, slot: record.Slot, open: *record.Open,
+		granted: record.Open.Granted, touched: offset,
+	})
+	return Accepted
+}
+
+func (book *Book) applyCarry(offset int64, record Record) Verdict {
+	carry := record.Carry
+	if program, ok := book.programs[record.Program]; ok {
+		if program.turns != carry.Turns {
+			return OutOfOrder
+		}
+		program.head = carry.Head
+		program.touched = offset
+		return Accepted
+	}
+	book.insert(&Program{
+		id: record.Program, slot: record.Slot, open: carry.Open, turns: carry.Turns, head: carry.Head,
+		granted: carry.Open.Granted, spent: carry.Spent, forfeited: carry.Forfeited,
+		ended: carry.Ended, intent: carry.Intent, age: carry.Age, touched: offset,
+	})
+	return Accepted
+}
+
+func (book *Book) insert(program *Program) {
+	book.programs[program.id] = program
+	book.slots[program.slot].programs[program.id] = program
+}
+
+func (book *Book) applyProgram(program *Program, record Record) Verdict {
+	switch {
+	case record.Grant != nil:
+		return program.grant(record.Grant.Granted)
+	case program.ended != "":
+		return AlreadyEnded
+	case record.End != nil:
+		program.ended = record.End.Reason
+		return Accepted
+	case record.Intent != nil:
+		return book.applyIntent(program, record.Intent)
+	default:
+		return book.applyTurn(program, record.Turn)
+	}
+}
+
+func (book *Book) applyIntent(program *Program, intent *Intent) Verdict {
+	if program.intent != nil || intent.Number != program.turns+1 {
+		return OutOfOrder
+	}
+	if intent.Attempt == program.refused {
+		return AlreadySettled
+	}
+	if verdict := book.root(program).grant(intent.Granted); verdict != Accepted {
+		return verdict
+	}
+	program.intent = intent
+	return Accepted
+}
+
+func (book *Book) applyTurn(program *Program, turn *Turn) Verdict {
+	if program.intent != nil || turn.Number != program.turns+1 {
+		return OutOfOrder
+	}
+	root := book.root(program)
+	if verdict := root.grant(turn.Granted); verdict != Accepted {
+		return verdict
+	}
+	root.settle(turn.Spent)
+	program.turns = turn.Number
+	program.head = turn.Head
+	program.age = turn.Age
+	return Accepted
+}
+
+// applyOutcome accepts an outcome from any epoch: it is a fact about a call
+// that ran, whoever owns the slot by now.
+func (book *Book) applyOutcome(offset int64, record Record) Verdict {
+	program, ok := book.programs[record.Program]
+	if !ok || program.slot != record.Slot {
+		return UnknownProgram
+	}
+	outcome := record.Outcome
+	if program.intent == nil || program.intent.Attempt != outcome.Attempt {
+		return AlreadySettled
+	}
+	// Only the current owner may rule that an intent never ran: an earlier
+	// owner's successor may already have answered for it.
+	if outcome.Result != ResultRan && record.Epoch != book.slots[record.Slot].epoch {
+		return StaleEpoch
+	}
+	program.intent = nil
+	program.touched = offset
+	if outcome.Result == ResultNotRun {
+		program.refused = outcome.Attempt
+		return Accepted
+	}
+	book.root(program).settle(outcome.Spent)
+	program.turns++
+	program.head = outcome.Head
+	return Accepted
+}
+
+func (book *Book) root(program *Program) *Program {
+	if root, ok := book.programs[program.open.Root]; ok {
+		return root
+	}
+	return program
+}
+
+// grant raises the granted part of the budget. It never lowers it, so that a
+// late record takes no tokens back.
+func (program *Program) grant(granted int64) Verdict {
+	if granted > program.open.Budget {
+		return OverBudget
+	}
+	program.granted = max(program.granted, granted)
+	return Accepted
+}
+
+// settle counts spent tokens, first against those that were forfeited.
+func (program *Program) settle(spent int64) {
+	program.spent += spent
+	program.forfeited = max(0, min(program.forfeited, program.granted-program.spent))
+}
+
+// CarryOf returns the record body that repeats the program's state.
+func (program *Program) CarryOf() *Carry {
+	open := program.open
+	open.Granted = program.granted
+	return &Carry{
+		Open: open, Turns: program.turns, Head: program.head, Spent: program.spent,
+		Forfeited: program.forfeited, Ended: program.ended, Intent: program.intent, Age: program.age,
+	}
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,87 @@
+// Package peer carries typed calls between the hosts of the system: frames of
+// msgpack over TCP, many calls on one connection, with heartbeats, deadlines
+// and cancellation.
+package peer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/godwitspread/godwitspread/internal/refusal"
+)
+
+// kind is the type of a frame.
+type kind uint8
+
+const (
+	kindHello kind = iota + 1
+	kindRequest
+	kindData
+	kindEnd
+	kindCancel
+	kindPing
+	kindPong
+)
+
+// frame is one message on a connection. Stream zero belongs to the connection.
+type frame struct {
+	Stream        uint64             `msgpack:"stream"`
+	Kind          kind               `msgpack:"kind"`
+	Method        string             `msgpack:"method,omitempty"`
+	TimeoutMillis int64              `msgpack:"timeout_ms,omitempty"`
+	Payload       msgpack.RawMessage `msgpack:"payload,omitempty"`
+	Refusal       *refusal.Refusal   `msgpack:"refusal,omitempty"`
+}
+
+// hello opens a connection in both directions.
+type hello struct {
+	Host        string `msgpack:"host"`
+	Incarnation string `msgpack:"incarnation"`
+	Secret      string `msgpack:"secret"`
+}
+
+const (
+	maxFrame   = 16 << 20 // bytes of one encoded frame
+	headerSize = 4        // bytes of the length before each frame
+)
+
+// writeFrame encodes a frame with its length in front.
+func writeFrame(writer io.Writer, message frame) error {
+	data, err := msgpack.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	if len(data) > maxFrame {
+		return fmt.Errorf("frame of %d bytes is over the limit of %d", len(data), maxFrame)
+	}
+	buffer := make([]byte, headerSize, headerSize+len(data))
+	binary.BigEndian.PutUint32(buffer, uint32(len(data)))
+	if _, err := writer.Write(append(buffer, data...)); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	return nil
+}
+
+// readFrame decodes the next frame.
+func readFrame(reader io.Reader) (frame, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return frame{}, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size == 0 || size > maxFrame {
+		return frame{}, fmt.Errorf("frame length %d is outside 1 to %d", size, maxFrame)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(reader, data); err != nil {
+		return frame{}, fmt.Errorf("read frame of %d bytes: %w", size, err)
+	}
+	var message frame
+	if err := msgpack.Unmarshal(data, &message); err != nil {
+		return frame{}, fmt.Errorf("decode frame: %w", err)
+	}
+	return message, nil
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Transport accepts connections of other hosts and dials them on demand.
+type Transport struct {
+	own      hello
+	handler  Handler
+	listener net.Listener
+	rejected atomic.Int64
+
+	mutex    sync.Mutex
+	dialed   map[string]*connection
+	accepted map[*connection]struct{}
+	closed   bool
+}
+
+const dialTimeout = time.Second
+
+// NewTransport returns a transport for a host. The secret must be the same on
+// every host.
+func NewTransport(host, incarnation, secret string, handler Handler) *Transport {
+	return &Transport{
+		own:      hello{Host: host, Incarnation: incarnation, Secret: secret},
+		handler:  handler,
+		dialed:   make(map[string]*connection),
+		accepted: make(map[*connection]struct{}),
+	}
+}
+
+func equalSecrets(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
+
+// Listen starts to accept connections.
+func (transport *Transport) Listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for peers on %q: %w", address, err)
+	}
+	transport.listener = listener
+	go transport.accept()
+	return nil
+}
+
+// Address returns the address that the transport listens on.
+func (transport *Transport) Address() string { return transport.listener.Addr().String() }
+
+// Rejected returns the number of connections refused at the handshake.
+func (transport *Transport) Rejected() int64 { return transport.rejected.Load() }
+
+func (transport *Transport) accept() {
+	for {
+		socket, err := transport.listener.Accept()
+		if err != nil {
+			return
+		}
+		go transport.welcome(socket)
+	}
+}
+
+func (transport *Transport) welcome(socket net.Conn) {
+	connection := newConnection(socket, transport.handler)
+	if err := connection.handshake(transport.own); err != nil {
+		transport.rejected.Add(1)
+		socket.Close()
+		return
+	}
+	transport.mutex.Lock()
+	if transport.closed {
+		transport.mutex.Unlock()
+		socket.Close()
+		return
+	}
+	transport.accepted[connection] = struct{}{}
+	transport.mutex.Unlock()
+	connection.start()
+	<-connection.done
+	transport.mutex.Lock()
+	delete(transport.accepted, connection)
+	transport.mutex.Unlock()
+}
+
+// Call runs a method on the host at the address. The error wraps
+// ErrConnection if the host could not be reached or was lost.
+func (transport *Transport) Call(ctx context.Context, address, method string, argument any, each func(Value) error) error {
+	connection, err := transport.dial(ctx, address)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrConnection, err)
+	}
+	return connection.call(ctx, method, argument, each)
+}
+
+// Ask runs a method that answers with exactly one value.
+func (transport *Transport) Ask(ctx context.Context, address, method string, argument, answer any) error {
+	answered := false
+	err := transport.Call(ctx, address, method, argument, func(value Value) error {
+		answered = true
+		return value.Decode(answer)
+	})
+	if err == nil && !answered {
+		return fmt.Errorf("host at %q gave no answer to %q", address, method)
+	}
+	return err
+}
+
+func (transport *Transport) dial(ctx context.Context, address string) (*connection, error) {
+	transport.mutex.Lock()
+	existing := transport.dialed[address]
+	transport.mutex.Unlock()
+	if existing != nil && existing.alive() {
+		return existing, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	connection := newConnection(socket, transport.handler)
+	if err := connection.handshake(transport.own); err != nil {
+		socket.Close()
+		return nil, err
+	}
+	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
+	if transport.closed {
+		socket.Close()
+		return nil, ErrConnection
+	}
+	if other := transport.dialed[address]; other != nil && other.alive() {
+		socket.Close()
+		return other, nil
+	}
+	transport.dialed[address] = connection
+	connection.start()
+	return connection, nil
+}
+
+// Close ends every connection.
+func (transport *Transport) Close() error {
+	transport.mutex.Lock()
+	transport.closed = true
+	connections := make([]*connection, 0, len(transport.dialed)+len(transport.accepted))
+	for _, connection := range transport.dialed {
+		connections = append(connections, connection)
+	}
+	for connection := range transport.accepted {
+		connections = append(connections, connection)
+	}
+	transport.mutex.Unlock()
+	for _, connection := range connections {
+		connection.close()
+	}
+	if transport.listener == nil {
+		return nil
+	}
+	return transport.listener.Close()
+}
--- /dev/null
+++ b/internal/program/event.go
@@ -0,0 +1,160 @@
+package program
+
+import (
+	"time"
+
+	"github.com/godwitspread/godwitspread/internal/ledger"
+	"github.com/godwitspread/godwitspread/internal/refusal"
+)
+
+// Token is the reply address of one request, chosen by the shell.
+type Token uint64
+
+// Kind tells how a service is called.
+type Kind string
+
+// Kinds of services.
+const (
+	KindEngine Kind = "engine"
+	KindPlain  Kind = "plain"
+)
+
+// Request is one call of a program as its owner receives it.
+type Request struct {
+	Token      Token
+	Workspace  string
+	Program    string
+	Call       string
+	Turn       int
+	Service    string
+	Kind       Kind
+	Repeatable bool
+	Input      string
+	MaxTokens  int64
+	Cost       int64
+	Timeout    time.Duration
+	// Partial is the text that the caller has already received from an
+	// earlier owner of the program.
+	Partial string
+	// Open is set when the call opens its own program.
+	Open *ledger.Open
+}
+
+// Answer is the result of a call.
+type Answer struct {
+	Output   string        `msgpack:"output"`
+	Status   int           `msgpack:"status,omitempty"`
+	Tokens   int64         `msgpack:"tokens"`
+	Turn     int           `msgpack:"turn"`
+	Result   ledger.Result `msgpack:"result"`
+	Replayed bool          `msgpack:"replayed,omitempty"`
+}
+
+// Event is an input of the machine.
+type Event interface{ event() }
+
+// Opened asks for a new program.
+type Opened struct {
+	Token   Token
+	Program string
+	Slot    int
+	Open    ledger.Open
+}
+
+// Called asks for a call.
+type Called struct {
+	Slot    int
+	Request Request
+}
+
+// Ended asks for the end of a program.
+type Ended struct {
+	Token     Token
+	Program   string
+	Workspace string
+}
+
+// Queried asks for the state and history of a program.
+type Queried struct {
+	Token     Token
+	Program   string
+	Workspace string
+}
+
+// Disconnected says that nobody waits for the token any more.
+type Disconnected struct{ Token Token }
+
+// Read delivers one append of the ledger in order of offset.
+type Read struct {
+	Offset  int64
+	Records []ledger.Record
+}
+
+// SlotsWanted asks the machine to claim slots.
+type SlotsWanted struct{ Slots []int }
+
+// Gathered delivers the turns that other hosts hold for a recovered slot.
+type Gathered struct {
+	Slot    int
+	Epoch   uint64
+	Entries []ledger.Entry
+}
+
+// HistoryLoaded delivers the committed turns of a program, oldest first.
+type HistoryLoaded struct {
+	Program string
+	Head    ledger.Location
+	Entries []ledger.Entry
+	Err     error
+}
+
+// HistoryStored says where an entry was stored.
+type HistoryStored struct {
+	Program  string
+	Call     string
+	Number   int
+	Location ledger.Location
+}
+
+// Replicated says that another host holds the entry in memory.
+type Replicated struct {
+	Program string
+	Number  int
+}
+
+// Answered delivers the result of a dispatch. Refusal is set if there is no
+// whole answer; its Run tells whether the target may have executed the call.
+type Answered struct {
+	Program string
+	Call    string
+	Attempt string
+	Output  string
+	Status  int
+	Tokens  int64
+	Refusal *refusal.Refusal
+}
+
+// WorkspaceRemoved ends every program of a workspace.
+type WorkspaceRemoved struct{ Workspace string }
+
+// Refresh repeats programs whose records are older than the offset.
+type Refresh struct{ Before int64 }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Opened) event()           {}
+func (Called) event()           {}
+func (Ended) event()            {}
+func (Queried) event()          {}
+func (Disconnected) event()     {}
+func (Read) event()             {}
+func (SlotsWanted) event()      {}
+func (Gathered) event()         {}
+func (HistoryLoaded) event()    {}
+func (HistoryStored) event()    {}
+func (Replicated) event()       {}
+func (Answered) event()         {}
+func (WorkspaceRemoved) event() {}
+func (Refresh) event()          {}
+func (Tick) event()             {}
