Serve a program's calls from caller to target and back

Cause: nothing ran yet. Change: daemon, operators' client, stand-ins and a demonstration that kills the owner of a program during a non-idempotent call.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
+LDFLAGS := -X github.com/godwitspread/godwitspread/internal/cli.Version=$(VERSION)
+OUT := out
+
+.PHONY: build run test lint model bench slopes fuzz
+
+build:
+	go build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
+
+run: build
+	./bin/godwitspread-bench demo
+
+test:
+	go test -race -timeout 15m ./...
+
+lint:
+	@files=$$(gofmt -l cmd internal pkg); test -z "$$files" || { echo "gofmt: $$files"; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+model:
+	sh model/check.sh
+
+bench: build
+	./bin/godwitspread-bench policies --output $(OUT)
+	./bin/godwitspread-bench rates --output $(OUT)
+
+slopes: build
+	./bin/godwitspread-bench slopes --output $(OUT)
--- /dev/null
+++ b/cmd/godwitspreadd/main.go
@@ -0,0 +1,12 @@
+// Command godwitspreadd is the daemon of an entry host.
+package main
+
+import (
+	"os"
+
+	"github.com/godwitspread/godwitspread/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Daemon(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/bench/serve.go
@@ -0,0 +1,91 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/standin"
+)
+
+// randomFrom returns a source of numbers from 0 to 1 that many goroutines may
+// use.
+func randomFrom(seed uint64) func() float64 {
+	var mutex sync.Mutex
+	source := rand.New(rand.NewPCG(seed, 9))
+	return func() float64 {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return source.Float64()
+	}
+}
+
+type platformCommand struct {
+	tool      *tool
+	Address   string        `long:"address" default:"127.0.0.1:7000" description:"address to serve on"`
+	Retention time.Duration `long:"retention" default:"24h" description:"how long records are kept"`
+	Rate      float64       `long:"rate" default:"500" description:"appends taken a second"`
+	Lag       time.Duration `long:"lag" default:"3s" description:"lag of the host list"`
+	Seed      uint64        `long:"seed" default:"1" description:"seed of the faults"`
+}
+
+// Execute implements flags.Commander.
+func (command *platformCommand) Execute([]string) error {
+	log := standin.NewLog(clockwork.NewRealClock(), randomFrom(command.Seed), command.Retention, command.Rate)
+	return command.tool.serve(command.Address, standin.NewPlatform(log, command.Lag).Handler())
+}
+
+type engineCommand struct {
+	tool    *tool
+	Address string        `long:"address" default:"127.0.0.1:9000" description:"address to serve on"`
+	Slots   int           `long:"slots" default:"8" description:"calls batched at one time"`
+	Cache   int           `long:"cache" default:"200000" description:"tokens of prefixes that are kept"`
+	Prefill time.Duration `long:"prefill" default:"100us" description:"time for one prompt token"`
+	Step    time.Duration `long:"step" default:"20ms" description:"time between tokens"`
+	LoadLag time.Duration `long:"load-lag" default:"2s" description:"age of the reported load"`
+	Fenced  bool          `long:"fenced" description:"refuse orders with an old number"`
+}
+
+// Execute implements flags.Commander.
+func (command *engineCommand) Execute([]string) error {
+	engine := standin.NewEngine(standin.EngineSettings{
+		Slots: command.Slots, CacheTokens: command.Cache, PrefillToken: command.Prefill, Step: command.Step,
+		LoadLag: command.LoadLag, Fenced: command.Fenced,
+	})
+	return command.tool.serve(command.Address, engine.Handler())
+}
+
+type serviceCommand struct {
+	tool    *tool
+	Address string        `long:"address" default:"127.0.0.1:9200" description:"address to serve on"`
+	Delay   time.Duration `long:"delay" default:"20ms" description:"time for one call"`
+}
+
+// Execute implements flags.Commander.
+func (command *serviceCommand) Execute([]string) error {
+	return command.tool.serve(command.Address, standin.NewService(command.Delay))
+}
+
+// serve runs a stand-in until the program is interrupted.
+func (tool *tool) serve(address string, handler http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	fmt.Fprintf(tool.stdout, "serving on %s\n", address)
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -25,9 +26,17 @@
 	epoch       uint64
 	host        string
 	incarnation string
+	witnesses   []string
+	former      []tenure
 	programs    map[string]*Program
 }
 
+// tenure is an earlier ownership that is not known to be fenced.
+type tenure struct {
+	incarnation string
+	witnesses   []string
+}
+
 // Epoch returns the highest epoch claimed, zero if none was.
 func (slot *Slot) Epoch() uint64 { return slot.epoch }
 
@@ -37,6 +46,48 @@
 // Incarnation returns the owner's incarnation.
 func (slot *Slot) Incarnation() string { return slot.incarnation }
 
+// Witnesses returns the incarnations that back the ownership while the log is
+// away.
+func (slot *Slot) Witnesses() []string { return slot.witnesses }
+
+// RenewedBy reports whether the incarnations that agree are enough to renew
+// the owner's lease without the log: a majority of the witnesses.
+func (slot *Slot) RenewedBy(agreed []string) bool {
+	return len(slot.witnesses) > 0 && countIn(slot.witnesses, agreed) > len(slot.witnesses)/2
+}
+
+// FencedBy reports whether the incarnations that refuse the slot's epochs are
+// enough to stop its owner, and every earlier one that nobody has fenced, from
+// renewing a lease.
+func (slot *Slot) FencedBy(refusing []string) bool {
+	current := tenure{incarnation: slot.incarnation, witnesses: slot.witnesses}
+	for _, tenure := range append(slices.Clone(slot.former), current) {
+		if !tenure.fencedBy(refusing) {
+			return false
+		}
+	}
+	return true
+}
+
+// fencedBy reports whether every majority of the witnesses contains a refusing
+// one, or the owner itself has stepped down.
+func (tenure tenure) fencedBy(refusing []string) bool {
+	if len(tenure.witnesses) == 0 || slices.Contains(refusing, tenure.incarnation) {
+		return true
+	}
+	return countIn(tenure.witnesses, refusing) >= len(tenure.witnesses)-len(tenure.witnesses)/2
+}
+
+func countIn(list, among []string) int {
+	count := 0
+	for _, each := range list {
+		if slices.Contains(among, each) {
+			count++
+		}
+	}
+	return count
+}
+
 // Programs returns the identifiers of the slot's programs in order.
 func (slot *Slot) Programs() []string {
 	ids := make([]string, 0, len(slot.programs))
@@ -188,14 +239,21 @@
 func (book *Book) applyClaim(slot *Slot, record Record) Verdict {
 	claim := record.Claim
 	if record.Epoch == slot.epoch && claim.Host == slot.host && claim.Incarnation == slot.incarnation {
+		if claim.Fenced {
+			slot.former = nil
+		}
 		return Accepted
 	}
 	if record.Epoch <= slot.epoch {
 		return StaleEpoch
 	}
+	if len(slot.witnesses) > 0 {
+		slot.former = append(slices.Clip(slot.former), tenure{incarnation: slot.incarnation, witnesses: slot.witnesses})
+	}
 	slot.epoch = record.Epoch
 	slot.host = claim.Host
 	slot.incarnation = claim.Incarnation
+	slot.witnesses = claim.Witnesses
 	for _, program := range slot.programs {
 		program.forfeited = program.granted - program.spent
 	}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -64,6 +64,11 @@
 type Claim struct {
 	Host        string `msgpack:"host"`
 	Incarnation string `msgpack:"incarnation"`
+	// Witnesses are the incarnations of hosts whose memory backs the claim
+	// while the log is away.
+	Witnesses []string `msgpack:"witnesses,omitempty"`
+	// Fenced tells that no earlier owner can renew its lease any more.
+	Fenced bool `msgpack:"fenced,omitempty"`
 }
 
 // Open starts a program. Root names the program whose budget it shares, which
--- /dev/null
+++ b/internal/owner/writer.go
@@ -0,0 +1,153 @@
+// Package owner is the shell round the program machine of a host: it writes
+// and follows the ledger, stores and loads history, keeps replicas for other
+// hosts, and connects callers with their calls.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/ledger"
+	"github.com/godwitspread/godwitspread/internal/metric"
+	"github.com/godwitspread/godwitspread/internal/platform"
+)
+
+// batch is one append on its way to a stream.
+type batch[T any] struct {
+	items []T
+	size  int
+}
+
+// groupWriter appends items to a stream in order, many to one append. An
+// append whose answer is lost is repeated: readers drop what they have seen.
+type groupWriter[T any] struct {
+	log      platform.Log
+	clock    clockwork.Clock
+	metrics  *metric.Metrics
+	stream   string
+	interval time.Duration
+	encode   func([]T) ([]byte, error)
+	// stored is told the offset of each append.
+	stored func(items []T, offset int64)
+	ring   chan T
+}
+
+const (
+	writerRing    = 32768
+	maxBatch      = 2000                   // items of one append
+	appendBackoff = 100 * time.Millisecond // first pause after a failed append
+	appendLimit   = 2 * time.Second        // longest pause
+)
+
+func newGroupWriter[T any](log platform.Log, clock clockwork.Clock, metrics *metric.Metrics, stream string,
+	interval time.Duration, encode func([]T) ([]byte, error), stored func([]T, int64)) *groupWriter[T] {
+	return &groupWriter[T]{
+		log: log, clock: clock, metrics: metrics, stream: stream, interval: interval,
+		encode: encode, stored: stored, ring: make(chan T, writerRing),
+	}
+}
+
+// write queues an item. It reports false if the ring is full.
+func (writer *groupWriter[T]) write(item T) bool {
+	select {
+	case writer.ring <- item:
+		return true
+	default:
+		return false
+	}
+}
+
+// run appends until the context ends. Between appends at least the interval
+// passes, which bounds the appends a second of one host; an item that arrives
+// after a quiet interval is written at once.
+func (writer *groupWriter[T]) run(ctx context.Context) {
+	for {
+		var items []T
+		select {
+		case <-ctx.Done():
+			return
+		case item := <-writer.ring:
+			items = writer.drain(item)
+		}
+		writer.append(ctx, items)
+		select {
+		case <-ctx.Done():
+			return
+		case <-writer.clock.After(writer.interval):
+		}
+	}
+}
+
+func (writer *groupWriter[T]) drain(first T) []T {
+	items := []T{first}
+	for len(items) < maxBatch {
+		select {
+		case item := <-writer.ring:
+			items = append(items, item)
+		default:
+			return items
+		}
+	}
+	return items
+}
+
+func (writer *groupWriter[T]) append(ctx context.Context, items []T) {
+	data, err := writer.encode(items)
+	if err != nil {
+		writer.metrics.Count("append_encode_failed")
+		return
+	}
+	backoff := appendBackoff
+	for ctx.Err() == nil {
+		started := writer.clock.Now()
+		offset, err := writer.log.Append(ctx, writer.stream, data)
+		if err == nil {
+			writer.metrics.Latency("append", writer.clock.Now().Sub(started))
+			if writer.stored != nil {
+				writer.stored(items, offset)
+			}
+			return
+		}
+		writer.metrics.Retried("append")
+		select {
+		case <-ctx.Done():
+		case <-writer.clock.After(backoff):
+		}
+		backoff = min(appendLimit, backoff*2)
+	}
+}
+
+// loadHistory reads the chain of turns that ends at a location, oldest first.
+func loadHistory(ctx context.Context, log platform.Log, stream string, head ledger.Location) ([]ledger.Entry, error) {
+	var reversed []ledger.Entry
+	for location := head; !location.IsZero(); {
+		page, err := log.Read(ctx, stream, location.Offset, 1, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(page.Entries) == 0 || page.Entries[0].Offset != location.Offset {
+			return nil, errExpired(stream, location.Offset)
+		}
+		entry, err := ledger.DecodeEntry(page.Entries[0].Data, location)
+		if err != nil {
+			return nil, err
+		}
+		earlier := entry.Earlier
+		entry.Earlier = nil
+		reversed = append(reversed, entry)
+		for index := len(earlier) - 1; index >= 0; index-- {
+			reversed = append(reversed, earlier[index])
+		}
+		if len(earlier) > 0 {
+			break
+		}
+		location = entry.Prev
+	}
+	entries := make([]ledger.Entry, 0, len(reversed))
+	for index := len(reversed) - 1; index >= 0; index-- {
+		entries = append(entries, reversed[index])
+	}
+	return entries, nil
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -50,10 +50,14 @@
 }
 
 // Read implements Log.
-func (client *Client) Read(ctx context.Context, stream string, from int64, wait time.Duration) (Page, error) {
+func (client *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, client.timeout+wait)
 	defer cancel()
-	query := url.Values{"from": {strconv.FormatInt(from, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	query := url.Values{
+		"from":    {strconv.FormatInt(from, 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
 	var page Page
 	if err := client.exchange(ctx, http.MethodGet, "/streams/"+url.PathEscape(stream)+"?"+query.Encode(), nil, &page); err != nil {
 		return Page{}, oops.In("platform").With("stream", stream).Wrapf(err, "read stream %q from offset %d", stream, from)
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -44,9 +44,9 @@
 type Log interface {
 	// Append adds data to the stream and returns its offset.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
-	// Read returns entries from an offset on. It waits up to wait for the
-	// first one.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (Page, error)
+	// Read returns entries from an offset on, at most limit if that is above
+	// zero. It waits up to wait for the first one.
+	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Page, error)
 }
 
 // HostState is the platform's view of a host.
--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -12,20 +12,20 @@
 type Tail struct {
 	log      Log
 	stream   string
+	wait     time.Duration
 	clock    clockwork.Clock
 	next     atomic.Int64
 	fresh    atomic.Int64 // clock time of the last read that reached the end
 	failures atomic.Int64
 }
 
-const (
-	tailWait    = 2 * time.Second        // long poll of one read
-	tailBackoff = 100 * time.Millisecond // pause after a failed read
-)
+const tailBackoff = 100 * time.Millisecond // pause after a failed read
 
-// NewTail returns a follower that starts at the oldest retained entry.
-func NewTail(log Log, stream string, clock clockwork.Clock) *Tail {
-	return &Tail{log: log, stream: stream, clock: clock}
+// NewTail returns a follower that starts at the oldest retained entry. Wait is
+// the long poll of one read, which bounds the age of the view of a quiet
+// stream.
+func NewTail(log Log, stream string, wait time.Duration, clock clockwork.Clock) *Tail {
+	return &Tail{log: log, stream: stream, wait: wait, clock: clock}
 }
 
 // Run reads until the context ends. Handle gets every page, also empty ones,
@@ -34,7 +34,7 @@
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		asked := tail.clock.Now()
-		page, err := tail.log.Read(ctx, tail.stream, tail.next.Load(), wait)
+		page, err := tail.log.Read(ctx, tail.stream, tail.next.Load(), 0, wait)
 		if err != nil {
 			tail.failures.Add(1)
 			tail.pause(ctx)
@@ -42,7 +42,7 @@
 		}
 		tail.note(page, asked)
 		handle(page, asked)
-		wait = tailWait
+		wait = tail.wait
 	}
 }
 
--- a/internal/program/effect.go
+++ b/internal/program/effect.go
@@ -74,6 +74,7 @@
 // View is the state of a program as its workspace may see it.
 type View struct {
 	Program   string           `msgpack:"program"`
+	Workspace string           `msgpack:"workspace"`
 	Root      string           `msgpack:"root"`
 	Owner     string           `msgpack:"owner"`
 	Epoch     uint64           `msgpack:"epoch"`
--- a/internal/program/event.go
+++ b/internal/program/event.go
@@ -74,11 +74,13 @@
 	Workspace string
 }
 
-// Queried asks for the state and history of a program.
+// Queried asks for the state and history of a program. An operator sees the
+// programs of every workspace, without their texts.
 type Queried struct {
 	Token     Token
 	Program   string
 	Workspace string
+	Operator  bool
 }
 
 // Disconnected says that nobody waits for the token any more.
@@ -90,14 +92,20 @@
 	Records []ledger.Record
 }
 
-// SlotsWanted asks the machine to claim slots.
-type SlotsWanted struct{ Slots []int }
+// SlotsWanted asks the machine to claim slots. Witnesses are the incarnations
+// of the hosts whose memory backs the ownership while the log is away.
+type SlotsWanted struct {
+	Slots     []int
+	Witnesses []string
+}
 
 // Gathered delivers the turns that other hosts hold for a recovered slot.
 type Gathered struct {
 	Slot    int
 	Epoch   uint64
 	Entries []ledger.Entry
+	// Fenced are the incarnations that refuse earlier epochs from now on.
+	Fenced []string
 }
 
 // HistoryLoaded delivers the committed turns of a program, oldest first.
@@ -134,8 +142,8 @@
 	Refusal *refusal.Refusal
 }
 
-// WorkspaceRemoved ends every program of a workspace.
-type WorkspaceRemoved struct{ Workspace string }
+// WorkspacesChanged ends the programs of workspaces that are not named.
+type WorkspacesChanged struct{ Names map[string]bool }
 
 // Refresh repeats programs whose records are older than the offset.
 type Refresh struct{ Before int64 }
@@ -143,18 +151,18 @@
 // Tick lets time pass.
 type Tick struct{}
 
-func (Opened) event()           {}
-func (Called) event()           {}
-func (Ended) event()            {}
-func (Queried) event()          {}
-func (Disconnected) event()     {}
-func (Read) event()             {}
-func (SlotsWanted) event()      {}
-func (Gathered) event()         {}
-func (HistoryLoaded) event()    {}
-func (HistoryStored) event()    {}
-func (Replicated) event()       {}
-func (Answered) event()         {}
-func (WorkspaceRemoved) event() {}
-func (Refresh) event()          {}
-func (Tick) event()             {}
+func (Opened) event()            {}
+func (Called) event()            {}
+func (Ended) event()             {}
+func (Queried) event()           {}
+func (Disconnected) event()      {}
+func (Read) event()              {}
+func (SlotsWanted) event()       {}
+func (Gathered) event()          {}
+func (HistoryLoaded) event()     {}
+func (HistoryStored) event()     {}
+func (Replicated) event()        {}
+func (Answered) event()          {}
+func (WorkspacesChanged) event() {}
+func (Refresh) event()           {}
+func (Tick) event()              {}
--- a/internal/program/limit.go
+++ b/internal/program/limit.go
@@ -28,8 +28,25 @@
 		machine.expireProgram(program)
 	}
 	machine.forgetEnded()
+	machine.gatherAgain()
 }
 
+// gatherAgain repeats the fencing of predecessors whose witnesses were out of
+// reach.
+func (machine *Machine) gatherAgain() {
+	for slot := range machine.slots {
+		ownership := &machine.slots[slot]
+		if ownership.fenced || ownership.gathering || !machine.holds(slot) || machine.now.Before(ownership.gatherAt) {
+			continue
+		}
+		ownership.gatherAt = machine.now.Add(gatherInterval)
+		machine.emit(Gather{Slot: slot, Epoch: machine.book.Slot(slot).Epoch()})
+	}
+}
+
+// gatherInterval is the pause between attempts to fence a predecessor.
+const gatherInterval = time.Second
+
 // forgetEnded drops programs that ended longer ago than the retention.
 func (machine *Machine) forgetEnded() {
 	for len(machine.endings) > 0 && machine.now.Sub(machine.endings[0].at) >= machine.settings.Retention {
@@ -129,15 +146,18 @@
 	}
 }
 
-// removeWorkspace ends the programs of a workspace that left the text.
-func (machine *Machine) removeWorkspace(workspace string) {
+// endForeign ends the programs of workspaces that have left the text.
+func (machine *Machine) endForeign() {
+	if machine.workspaces == nil {
+		return
+	}
 	for slot := range machine.slots {
 		if !machine.holds(slot) {
 			continue
 		}
 		for _, id := range machine.book.Slot(slot).Programs() {
 			entry, _ := machine.book.Program(id)
-			if entry.Open().Workspace == workspace && entry.Ended() == "" {
+			if !machine.workspaces[entry.Open().Workspace] && entry.Ended() == "" {
 				machine.finish(machine.state(id, slot), ledger.EndWorkspace)
 			}
 		}
@@ -154,7 +174,10 @@
 			continue
 		}
 		claim := machine.record(slot, "")
-		claim.Claim = &ledger.Claim{Host: machine.settings.Host, Incarnation: machine.settings.Incarnation}
+		claim.Claim = &ledger.Claim{
+			Host: machine.settings.Host, Incarnation: machine.settings.Incarnation,
+			Witnesses: machine.book.Slot(slot).Witnesses(), Fenced: machine.slots[slot].fenced,
+		}
 		records = append(records, claim)
 		for _, id := range machine.book.Slot(slot).Programs() {
 			entry, _ := machine.book.Program(id)
--- a/internal/program/machine.go
+++ b/internal/program/machine.go
@@ -49,21 +49,25 @@
 
 // ownership is what the machine knows about one slot beyond the book.
 type ownership struct {
-	claimedAt time.Time // when the last claim of this host was proposed
-	gathering bool
+	claimedAt   time.Time // when the last claim of this host was proposed
+	gathering   bool
+	predecessor ledger.Slot // the state before this host's claim
+	fenced      bool        // no earlier owner can renew its lease
+	gatherAt    time.Time   // when to gather again
 }
 
 // Machine is the state of one host.
 type Machine struct {
-	settings Settings
-	book     *ledger.Book
-	slots    [ledger.SlotCount]ownership
-	programs map[string]*state
-	tokens   map[Token]tokenPlace
-	endings  []ending // ended programs in order of time
-	now      time.Time
-	effects  []Effect
-	sequence uint64
+	settings   Settings
+	book       *ledger.Book
+	slots      [ledger.SlotCount]ownership
+	programs   map[string]*state
+	tokens     map[Token]tokenPlace
+	endings    []ending        // ended programs in order of time
+	workspaces map[string]bool // the workspaces of the text, nil if not known
+	now        time.Time
+	effects    []Effect
+	sequence   uint64
 }
 
 // tokenPlace finds the call that a token waits for.
@@ -96,6 +100,12 @@
 	return machine.holds(slot) && !machine.slots[slot].gathering
 }
 
+// Fenced reports whether no earlier owner of the slot can act on a lease that
+// witnesses renew.
+func (machine *Machine) Fenced(slot int) bool {
+	return machine.holds(slot) && machine.slots[slot].fenced
+}
+
 // holds reports whether the ledger names this incarnation as the owner.
 func (machine *Machine) holds(slot int) bool {
 	owner := machine.book.Slot(slot)
@@ -123,7 +133,7 @@
 	case Read:
 		machine.read(event)
 	case SlotsWanted:
-		machine.claim(event.Slots)
+		machine.claim(event)
 	case Gathered:
 		machine.gathered(event)
 	case HistoryLoaded:
@@ -134,8 +144,9 @@
 		machine.replicated(event)
 	case Answered:
 		machine.answered(event)
-	case WorkspaceRemoved:
-		machine.removeWorkspace(event.Workspace)
+	case WorkspacesChanged:
+		machine.workspaces = event.Names
+		machine.endForeign()
 	case Refresh:
 		machine.refresh(event.Before)
 	case Tick:
@@ -144,6 +155,18 @@
 	return machine.effects
 }
 
+// Pending returns the number of calls that are under way or not yet committed.
+func (machine *Machine) Pending() int {
+	pending := 0
+	for _, program := range machine.programs {
+		pending += len(program.queue) + len(program.pipeline)
+		if program.active != nil {
+			pending++
+		}
+	}
+	return pending
+}
+
 func (machine *Machine) emit(effect Effect) {
 	machine.effects = append(machine.effects, effect)
 }
@@ -180,7 +203,7 @@
 			continue
 		}
 		if record.Claim != nil && verdict == ledger.Accepted {
-			machine.claimed(record.Slot, before.Epoch())
+			machine.claimed(record.Slot, before)
 			continue
 		}
 		machine.applied(record, verdict)
@@ -192,9 +215,9 @@
 }
 
 // claim proposes this host as the owner of slots.
-func (machine *Machine) claim(slots []int) {
+func (machine *Machine) claim(event SlotsWanted) {
 	var records []ledger.Record
-	for _, slot := range slots {
+	for _, slot := range event.Slots {
 		ownership := &machine.slots[slot]
 		recent := !ownership.claimedAt.IsZero() && machine.now.Sub(ownership.claimedAt) < machine.settings.ClaimRetry
 		if machine.holds(slot) || recent {
@@ -203,7 +226,7 @@
 		ownership.claimedAt = machine.now
 		record := machine.record(slot, "")
 		record.Epoch++
-		record.Claim = &ledger.Claim{Host: machine.settings.Host, Incarnation: machine.settings.Incarnation}
+		record.Claim = &ledger.Claim{Host: machine.settings.Host, Incarnation: machine.settings.Incarnation, Witnesses: event.Witnesses}
 		records = append(records, record)
 	}
 	if len(records) > 0 {
--- a/internal/program/open.go
+++ b/internal/program/open.go
@@ -23,10 +23,12 @@
 		return
 	}
 	if event.Open.Root != event.Program {
-		if _, err := machine.lookup(event.Open.Root, event.Open.Workspace); err != nil {
+		parent, err := machine.lookup(event.Open.Root, event.Open.Workspace)
+		if err != nil {
 			machine.refuse(event.Token, err)
 			return
 		}
+		event.Open.Root = parent.Open().Root
 	}
 	program := machine.state(event.Program, event.Slot)
 	program.opening = append(program.opening, event.Token)
@@ -161,6 +163,10 @@
 
 // query answers with the state of a program and its known history.
 func (machine *Machine) query(event Queried) {
+	if event.Operator {
+		machine.inspect(event)
+		return
+	}
 	entry, err := machine.lookup(event.Program, event.Workspace)
 	if err != nil {
 		machine.refuse(event.Token, err)
@@ -184,6 +190,21 @@
 	machine.emit(Reply{Token: event.Token, View: machine.view(program, entry)})
 }
 
+// inspect answers an operator from the book alone.
+func (machine *Machine) inspect(event Queried) {
+	entry, ok := machine.book.Program(event.Program)
+	if !ok {
+		machine.refuse(event.Token, refusal.New(refusal.NotFound, "program %q does not exist", event.Program))
+		return
+	}
+	view := machine.view(&state{id: entry.ID(), slot: entry.Slot()}, entry)
+	view.Turns = entry.Turns()
+	if program, ok := machine.programs[event.Program]; ok {
+		view.Running = program.active != nil
+	}
+	machine.emit(Reply{Token: event.Token, View: view})
+}
+
 func (machine *Machine) view(program *state, entry *ledger.Program) *View {
 	root, ok := machine.book.Program(entry.Open().Root)
 	if !ok {
@@ -191,7 +212,7 @@
 	}
 	slot := machine.book.Slot(program.slot)
 	return &View{
-		Program: program.id, Root: entry.Open().Root, Owner: slot.Host(), Epoch: slot.Epoch(),
+		Program: program.id, Workspace: entry.Open().Workspace, Root: entry.Open().Root, Owner: slot.Host(), Epoch: slot.Epoch(),
 		Turns: len(program.entries), Budget: root.Open().Budget, Spent: root.Spent(),
 		Forfeited: root.Forfeited(), Running: program.active != nil, Ended: entry.Ended(),
 		Entries: slices.Clone(program.entries),
--- a/internal/program/takeover.go
+++ b/internal/program/takeover.go
@@ -12,19 +12,18 @@
 var zeroTime time.Time
 
 // claimed reacts to a claim that the ledger accepted.
-func (machine *Machine) claimed(slot int, before uint64) {
+func (machine *Machine) claimed(slot int, before ledger.Slot) {
 	owner := machine.book.Slot(slot)
-	if owner.Epoch() == before {
+	if owner.Epoch() == before.Epoch() {
 		return
 	}
-	machine.slots[slot].claimedAt = zeroTime
+	machine.slots[slot] = ownership{}
 	if !machine.holds(slot) {
-		machine.slots[slot].gathering = false
 		machine.lose(slot)
 		return
 	}
 	machine.emit(Counted{Name: "slot_claimed"})
-	machine.slots[slot].gathering = true
+	machine.slots[slot] = ownership{gathering: true, predecessor: before}
 	machine.emit(Gather{Slot: slot, Epoch: owner.Epoch()})
 	for _, id := range owner.Programs() {
 		entry, _ := machine.book.Program(id)
@@ -90,7 +89,16 @@
 	if !machine.holds(event.Slot) || machine.book.Slot(event.Slot).Epoch() != event.Epoch {
 		return
 	}
-	machine.slots[event.Slot].gathering = false
+	ownership := &machine.slots[event.Slot]
+	ownership.gatherAt = machine.now.Add(gatherInterval)
+	if !ownership.fenced && ownership.predecessor.FencedBy(event.Fenced) {
+		ownership.fenced = true
+		machine.recordFenced(event.Slot)
+	}
+	if !ownership.gathering {
+		return
+	}
+	ownership.gathering = false
 	entries := slices.Clone(event.Entries)
 	slices.SortFunc(entries, func(a, b ledger.Entry) int { return cmp.Compare(a.Number, b.Number) })
 	for _, entry := range entries {
@@ -111,6 +119,16 @@
 	}
 }
 
+// recordFenced tells later owners that they need not fence the earlier ones.
+func (machine *Machine) recordFenced(slot int) {
+	owner := machine.book.Slot(slot)
+	record := machine.record(slot, "")
+	record.Claim = &ledger.Claim{
+		Host: machine.settings.Host, Incarnation: machine.settings.Incarnation, Witnesses: owner.Witnesses(), Fenced: true,
+	}
+	machine.emit(Append{Records: []ledger.Record{record}})
+}
+
 // historyLoaded makes a program ready after a takeover.
 func (machine *Machine) historyLoaded(event HistoryLoaded) {
 	program, ok := machine.programs[event.Program]
--- a/internal/target/order.go
+++ b/internal/target/order.go
@@ -44,6 +44,7 @@
 	active  *heap.Heap[*tenant]
 	virtual float64 // virtual time of the tenant served last
 	length  int
+	started time.Time // origin of the ageing
 }
 
 // tenant is the queue of one workspace.
@@ -97,11 +98,11 @@
 
 // Push implements Order.
 func (order *FairOrder) Push(now time.Time, request *Request) {
-	tenant := order.tenant(request)
-	request.order = float64(request.Attained) + ageing*now.Sub(time.Time{}).Seconds()
-	if !request.arrived.IsZero() {
-		request.order = float64(request.Attained) + ageing*request.arrived.Sub(time.Time{}).Seconds()
+	if order.started.IsZero() {
+		order.started = now
 	}
+	tenant := order.tenant(request)
+	request.order = float64(request.Attained) + ageing*request.arrived.Sub(order.started).Seconds()
 	tenant.requests.Push(request)
 	order.length++
 	if tenant.requests.Len() > 1 {
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -35,6 +35,7 @@
 	targets    map[string]*Target
 	byLoad     *heap.Heap[*Target]
 	requests   map[uint64]*Request
+	deferred   *heap.Heap[*Request] // long calls that no target admits yet
 	permits    map[uint64]*Target
 	holders    map[string]*Target // where a program's prefix is
 	quarantine *quarantine
@@ -47,7 +48,7 @@
 	return &Pool{
 		settings: settings, order: order, placement: placement,
 		targets: make(map[string]*Target), byLoad: heap.New(lessLoaded),
-		requests: make(map[uint64]*Request), permits: make(map[uint64]*Target),
+		requests: make(map[uint64]*Request), deferred: heap.New(lessOrdered), permits: make(map[uint64]*Target),
 		holders: make(map[string]*Target), quarantine: newQuarantine(),
 	}
 }
@@ -92,7 +93,7 @@
 	target := &Target{
 		address: address, window: pool.settings.Window, running: make(map[uint64]*Request),
 		cached: make(map[uint64]int), prefixes: newPrefixes(), speed: newSpeed(),
-		parked: heap.New(func(a, b *Request) bool { return a.order < b.order }),
+		parked: heap.New(lessOrdered),
 	}
 	pool.targets[address] = target
 	pool.list = append(pool.list, target)
@@ -174,6 +175,11 @@
 		request.parked = nil
 		return
 	}
+	if request.deferred {
+		pool.deferred.Remove(request)
+		request.deferred = false
+		return
+	}
 	pool.order.Remove(request)
 }
 
@@ -193,6 +199,7 @@
 	pool.learn(target, request, report)
 	pool.byLoad.Fix(target)
 	pool.removeIfGone(target)
+	pool.serveParked(target)
 	return pool.schedule()
 }
 
@@ -287,6 +294,7 @@
 		for target.parked.Len() > 0 && !now.Before(target.parked.Peek().unpark) {
 			pool.unpark(target, target.parked.Peek())
 		}
+		pool.serveParked(target)
 	}
 	for id, request := range pool.requests {
 		if now.After(request.Deadline) && !request.Deadline.IsZero() {
@@ -314,10 +322,8 @@
 
 // schedule grants permits while requests and targets match.
 func (pool *Pool) schedule() []Decision {
-	for _, target := range pool.list {
-		if target.parked.Len() > 0 {
-			pool.serveParked(target)
-		}
+	if pool.deferred.Len() > 0 {
+		pool.serveDeferred()
 	}
 	for {
 		request := pool.order.Peek()
@@ -325,20 +331,40 @@
 			return pool.decisions
 		}
 		choice := pool.placement.Choose(pool, request)
-		if choice.Target == nil && choice.Park == nil {
+		switch {
+		case choice.Target != nil:
+			pool.order.Remove(request)
+			pool.grant(choice.Target, request)
+		case choice.Park != nil:
+			pool.order.Remove(request)
+			pool.park(choice.Park, request)
+		case pool.byLoad.Peek().available():
+			// Targets have room, only not for this request: it must not
+			// hold up the others.
+			pool.order.Remove(request)
+			request.deferred = true
+			pool.deferred.Push(request)
+		default:
 			return pool.decisions
 		}
-		pool.order.Remove(request)
-		if choice.Park != nil {
-			pool.park(choice.Park, request)
-			continue
+	}
+}
+
+// serveDeferred grants the first deferred requests that a target admits.
+func (pool *Pool) serveDeferred() {
+	for pool.deferred.Len() > 0 {
+		request := pool.deferred.Peek()
+		target := pool.leastLoaded(request)
+		if target == nil {
+			return
 		}
-		pool.grant(choice.Target, request)
+		pool.deferred.Remove(request)
+		request.deferred = false
+		pool.grant(target, request)
 	}
 }
 
-// serveParked gives a free target to the requests that wait for it, unless a
-// request in the common queue goes before them.
+// serveParked gives a free target to the requests that wait for it.
 func (pool *Pool) serveParked(target *Target) {
 	for target.parked.Len() > 0 && target.available() {
 		request := target.parked.Peek()
--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -30,17 +30,25 @@
 	// Avoid names the target on which the call has just failed.
 	Avoid string
 
-	arrived time.Time
-	order   float64
-	index   int
-	parked  *Target
-	unpark  time.Time
-	moved   bool // has been parked before
+	arrived  time.Time
+	order    float64
+	index    int
+	parked   *Target
+	deferred bool
+	unpark   time.Time
+	moved    bool // has been parked before
 }
 
 // HeapIndex implements heap.Item.
 func (request *Request) HeapIndex() *int { return &request.index }
 
+func lessOrdered(a, b *Request) bool {
+	if a.order != b.order {
+		return a.order < b.order
+	}
+	return a.ID < b.ID
+}
+
 // work is the expected load of a request on its target, in tokens.
 func (request *Request) work(cached int) float64 {
 	return float64(max(0, request.Prompt-cached))*prefillWeight + float64(request.Output)
