Test the program machine under faults and refuse truthfully

Cause: a call sent again to a successor could expire in its queue as "not run" although its intent had no outcome yet, or the history that tells was not loaded. Found by killing the owner at each step of a call. Change: such refusals say that the outcome is unknown. A randomized test drives the real machines through crashes, pauses, lost and late appends and outages.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -35,8 +35,6 @@
 	code    int
 }
 
-var errVersion = errors.New("version asked for")
-
 // Client runs the operators' client.
 func Client(arguments []string, stdout, stderr io.Writer) int {
 	client := &client{stdout: stdout, stderr: stderr}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -296,6 +296,7 @@
 		if age, ok := daemon.owner.LedgerAge(); !ok || age > ledgerFresh || !daemon.owner.CaughtUp() {
 			continue
 		}
+		daemon.owner.SetAlive(daemon.aliveIncarnations())
 		owners := daemon.owner.Owners()
 		var list [ledger.SlotCount]host.Owner
 		for slot, ownership := range owners {
@@ -311,6 +312,20 @@
 	}
 }
 
+// aliveIncarnations returns the processes of the data centre that are heard.
+func (daemon *Daemon) aliveIncarnations() []string {
+	incarnations := []string{daemon.own.Incarnation}
+	daemon.beater.View(func(membership *host.Membership, now time.Time) {
+		for _, member := range membership.All() {
+			heartbeat := member.Heartbeat()
+			if membership.Alive(now, heartbeat.Name, heartbeat.Incarnation) {
+				incarnations = append(incarnations, heartbeat.Incarnation)
+			}
+		}
+	})
+	return incarnations
+}
+
 // ledgerFresh is the age of the view of the ledger up to which slots are
 // claimed.
 const ledgerFresh = 5 * time.Second
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -362,11 +362,6 @@
 	if program.intent == nil || program.intent.Attempt != outcome.Attempt {
 		return AlreadySettled
 	}
-	// Only the current owner may rule that an intent never ran: an earlier
-	// owner's successor may already have answered for it.
-	if outcome.Result != ResultRan && record.Epoch != book.slots[record.Slot].epoch {
-		return StaleEpoch
-	}
 	program.intent = nil
 	program.touched = offset
 	if outcome.Result == ResultNotRun {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -421,6 +421,11 @@
 	}
 }
 
+// SetAlive tells which incarnations of hosts are alive.
+func (owner *Owner) SetAlive(incarnations []string) {
+	owner.post(program.HostsAlive{Incarnations: incarnations})
+}
+
 // SetWorkspaces ends the programs of workspaces that exist no more.
 func (owner *Owner) SetWorkspaces(names map[string]bool) {
 	owner.post(program.WorkspacesChanged{Names: names})
--- a/internal/owner/writer.go
+++ b/internal/owner/writer.go
@@ -14,12 +14,6 @@
 	"github.com/godwitspread/godwitspread/internal/platform"
 )
 
-// batch is one append on its way to a stream.
-type batch[T any] struct {
-	items []T
-	size  int
-}
-
 // groupWriter appends items to a stream in order, many to one append. An
 // append whose answer is lost is repeated: readers drop what they have seen.
 type groupWriter[T any] struct {
--- a/internal/program/event.go
+++ b/internal/program/event.go
@@ -142,6 +142,10 @@
 	Refusal *refusal.Refusal
 }
 
+// HostsAlive tells which incarnations of hosts are alive. It is a hint: an
+// owner that is not named may still write an outcome, if it is the first to.
+type HostsAlive struct{ Incarnations []string }
+
 // WorkspacesChanged ends the programs of workspaces that are not named.
 type WorkspacesChanged struct{ Names map[string]bool }
 
@@ -163,6 +167,7 @@
 func (HistoryStored) event()     {}
 func (Replicated) event()        {}
 func (Answered) event()          {}
+func (HostsAlive) event()        {}
 func (WorkspacesChanged) event() {}
 func (Refresh) event()           {}
 func (Tick) event()              {}
--- a/internal/program/limit.go
+++ b/internal/program/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/godwitspread/godwitspread/internal/ledger"
@@ -64,9 +65,9 @@
 		if machine.now.Before(queued.deadline) {
 			return false
 		}
+		refused := refusal.New(refusal.DeadlineExceeded, "call %q waited past its deadline", queued.request.Call)
 		for _, token := range queued.tokens {
-			machine.refuse(token, refusal.New(refusal.DeadlineExceeded,
-				"call %q waited past its deadline", queued.request.Call))
+			machine.refuse(token, machine.truthful(program, queued, refused))
 		}
 		return true
 	})
@@ -102,6 +103,27 @@
 	}
 }
 
+// hostsAlive shortens the wait for outcomes of owners that are gone.
+func (machine *Machine) hostsAlive(incarnations []string) {
+	for _, program := range machine.programs {
+		entry, ok := machine.book.Program(program.id)
+		if program.resolveAt.IsZero() || !ok || entry.Intent() == nil {
+			continue
+		}
+		incarnation, _, _ := strings.Cut(entry.Intent().Attempt, ".")
+		if slices.Contains(incarnations, incarnation) {
+			program.lostAt = zeroTime
+			continue
+		}
+		if program.lostAt.IsZero() {
+			program.lostAt = machine.now
+		}
+		if resolve := program.lostAt.Add(machine.settings.OutcomeGrace); resolve.Before(program.resolveAt) {
+			program.resolveAt = resolve
+		}
+	}
+}
+
 // resolveInherited records an unknown outcome for an intent of an earlier
 // owner whose time has passed.
 func (machine *Machine) resolveInherited(program *state) {
--- a/internal/program/machine.go
+++ b/internal/program/machine.go
@@ -144,6 +144,8 @@
 		machine.replicated(event)
 	case Answered:
 		machine.answered(event)
+	case HostsAlive:
+		machine.hostsAlive(event.Incarnations)
 	case WorkspacesChanged:
 		machine.workspaces = event.Names
 		machine.endForeign()
--- a/internal/program/open.go
+++ b/internal/program/open.go
@@ -137,12 +137,31 @@
 func (machine *Machine) flush(program *state, refused *refusal.Refusal) {
 	for _, queued := range program.queue {
 		for _, token := range queued.tokens {
-			machine.refuse(token, refused)
+			machine.refuse(token, machine.truthful(program, queued, refused))
 		}
 	}
 	program.queue = nil
 }
 
+// truthful changes a refusal of a waiting non-idempotent call that may have run
+// before: its intent has no outcome yet, or the history that would tell is not
+// loaded.
+func (machine *Machine) truthful(program *state, queued queuedCall, refused *refusal.Refusal) *refusal.Refusal {
+	entry, ok := machine.book.Program(program.id)
+	if !ok || queued.request.Repeatable || queued.request.Call == "" {
+		return refused
+	}
+	open := entry.Intent() != nil && entry.Intent().Call == queued.request.Call
+	unread := !program.loaded && entry.Turns() > 0
+	if !open && !unread {
+		return refused
+	}
+	if refused.Code == refusal.DeadlineExceeded {
+		return unknownOutcome(queued.request.Call)
+	}
+	return refused.WithRun(refusal.Unknown)
+}
+
 // ended reacts to the record that closed a program.
 func (machine *Machine) ended(record ledger.Record) {
 	machine.emit(Release{Program: record.Program})
--- /dev/null
+++ b/internal/program/protocol_test.go
@@ -0,0 +1,357 @@
+package program_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/godwitspread/godwitspread/internal/ledger"
+	"github.com/godwitspread/godwitspread/internal/program"
+	"github.com/godwitspread/godwitspread/internal/refusal"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The verdict is the same on every run unless a seed is asked for.
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "3000", "rapid.steps": "90"} {
+		if given := flag.Lookup(name); given != nil && given.Value.String() == given.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				os.Exit(2)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestProtocolUnderFaults drives the real machines through random faults.
+func TestProtocolUnderFaults(t *testing.T) {
+	answered, settledOnce := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := newFleet(3)
+		host := rapid.IntRange(0, 2)
+		fleet.step(0, program.SlotsWanted{Slots: []int{simSlot}})
+		fleet.appendOne(0, appendTaken)
+		fleet.readOne(0)
+		fleet.gatherOne(0)
+		fleet.openProgram(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(t *rapid.T) {
+				call := fmt.Sprintf("%s%d", rapid.SampledFrom([]string{"i", "o"}).Draw(t, "kind"), rapid.IntRange(1, 4).Draw(t, "call"))
+				to := fleet.owner()
+				if to < 0 || rapid.IntRange(0, 4).Draw(t, "elsewhere") == 0 {
+					to = host.Draw(t, "host")
+				}
+				fleet.send(to, call)
+			},
+			"progress": func(t *rapid.T) {
+				for range rapid.IntRange(1, 4).Draw(t, "rounds") {
+					fleet.progress(host.Draw(t, "host"))
+				}
+			},
+			"serve": func(t *rapid.T) {
+				if owner := fleet.owner(); owner >= 0 {
+					for range rapid.IntRange(1, 8).Draw(t, "rounds") {
+						fleet.progress(owner)
+					}
+				}
+			},
+			"claim": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "claims") > 0 {
+					return
+				}
+				fleet.step(host.Draw(t, "host"), program.SlotsWanted{Slots: []int{simSlot}, Witnesses: []string{fleet.hosts[0].incarnation}})
+			},
+			"append": func(t *rapid.T) {
+				fleet.appendOne(host.Draw(t, "host"), appendFate(rapid.IntRange(0, 3).Draw(t, "fate")))
+			},
+			"append taken": func(t *rapid.T) { fleet.appendOne(host.Draw(t, "host"), appendTaken) },
+			"late":         func(t *rapid.T) { fleet.landLate(rapid.IntRange(0, 9).Draw(t, "which")) },
+			"read":         func(t *rapid.T) { fleet.readOne(host.Draw(t, "host")) },
+			"read all": func(t *rapid.T) {
+				for index := host.Draw(t, "host"); fleet.readOne(index); {
+				}
+			},
+			"store":     func(t *rapid.T) { fleet.storeOne(host.Draw(t, "host")) },
+			"load":      func(t *rapid.T) { fleet.loadOne(host.Draw(t, "host"), rapid.IntRange(0, 4).Draw(t, "fails") == 0) },
+			"execute":   func(t *rapid.T) { fleet.execute(host.Draw(t, "host"), rapid.IntRange(0, 4).Draw(t, "lost") == 0) },
+			"deliver":   func(t *rapid.T) { fleet.deliver(host.Draw(t, "host")) },
+			"replicate": func(t *rapid.T) { fleet.replicateOne(host.Draw(t, "host"), host.Draw(t, "to")) },
+			"gather":    func(t *rapid.T) { fleet.gatherOne(host.Draw(t, "host")) },
+			"outage":    func(t *rapid.T) { fleet.outage = rapid.Bool().Draw(t, "away") },
+			"time": func(t *rapid.T) {
+				fleet.advance(time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"crash": func(t *rapid.T) { fleet.crash(host.Draw(t, "host")) },
+			"": func(t *rapid.T) {
+				if len(fleet.faults) > 0 {
+					t.Fatalf("%s\ntrace:\n  %s", strings.Join(fleet.faults, "\n"), strings.Join(fleet.trace, "\n  "))
+				}
+			},
+		})
+		fleet.settle()
+		fleet.check()
+		if len(fleet.faults) > 0 {
+			t.Fatalf("%s\ntrace:\n  %s", strings.Join(fleet.faults, "\n"), strings.Join(fleet.trace, "\n  "))
+		}
+		answered += len(fleet.answers)
+		for call := range fleet.answers {
+			if once(call) {
+				settledOnce++
+			}
+		}
+	})
+	// A run in which nothing is answered would prove nothing.
+	if answered < 500 || settledOnce < 100 {
+		t.Fatalf("only %d calls were answered, %d of them non-idempotent", answered, settledOnce)
+	}
+	t.Logf("%d calls answered, %d of them non-idempotent", answered, settledOnce)
+}
+
+// TestKillPoints kills or pauses the owner at each step of a non-idempotent
+// call and lets another host take over.
+func TestKillPoints(t *testing.T) {
+	steps := []struct {
+		name string
+		do   func(fleet *fleet)
+	}{
+		{"sent", func(fleet *fleet) { fleet.send(0, "o1") }},
+		{"intent appended", func(fleet *fleet) { fleet.appendOne(0, appendTaken) }},
+		{"intent read", func(fleet *fleet) { fleet.readOne(0) }},
+		{"dispatched and run", func(fleet *fleet) { fleet.execute(0, false) }},
+		{"answer arrived", func(fleet *fleet) { fleet.deliver(0) }},
+		{"history stored", func(fleet *fleet) { fleet.storeOne(0) }},
+		{"outcome appended", func(fleet *fleet) { fleet.appendOne(0, appendTaken) }},
+		{"outcome read", func(fleet *fleet) { fleet.readOne(0) }},
+	}
+	for _, paused := range []bool{false, true} {
+		for reached := range len(steps) + 1 {
+			name := fmt.Sprintf("paused %t after %d steps", paused, reached)
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				fleet := startedFleet()
+				for _, step := range steps[:reached] {
+					step.do(fleet)
+				}
+				if !paused {
+					fleet.crash(0)
+				}
+				fleet.takeOver(1)
+				fleet.send(1, "o1")
+				fleet.settle()
+				fleet.check()
+				is.Equal(fleet.faults, nil)
+				is.True(fleet.runs["o1"] <= 1)
+				_, answered := fleet.answers["o1"]
+				is.True(answered || fleet.refusals["o1"] == refusal.Unknown) // an answer, or honestly unknown
+			})
+		}
+	}
+}
+
+// startedFleet returns a fleet whose first host owns an open program.
+func startedFleet() *fleet {
+	fleet := newFleet(3)
+	fleet.step(0, program.SlotsWanted{Slots: []int{simSlot}})
+	fleet.appendOne(0, appendTaken)
+	fleet.readOne(0)
+	fleet.gatherOne(0)
+	fleet.appendOne(0, appendTaken)
+	fleet.readOne(0)
+	fleet.openProgram(0)
+	fleet.appendOne(0, appendTaken)
+	fleet.readOne(0)
+	return fleet
+}
+
+// takeOver lets a host claim the slot and recover it.
+func (fleet *fleet) takeOver(index int) {
+	for fleet.readOne(index) {
+	}
+	fleet.step(index, program.SlotsWanted{Slots: []int{simSlot}})
+	for len(fleet.hosts[index].appends) > 0 {
+		fleet.appendOne(index, appendTaken)
+	}
+	for fleet.readOne(index) {
+	}
+	fleet.gatherOne(index)
+}
+
+// TestLogOutage lets the log go away during calls: idempotent ones go on from
+// another host's memory, others are refused as not run.
+func TestLogOutage(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	fleet.outage = true
+	fleet.send(0, "i1")
+	fleet.execute(0, false)
+	fleet.deliver(0)
+	is.Equal(len(fleet.answers), 0) // not durable yet
+	fleet.advance(time.Second)
+	fleet.replicateOne(0, 2)
+	is.Equal(len(fleet.answers), 1) // another host holds the turn
+	fleet.send(0, "o1")
+	fleet.advance(25 * time.Second)
+	is.Equal(fleet.refusals["o1"], refusal.NotRun)
+	fleet.crash(0)
+	fleet.outage = false
+	fleet.takeOver(1)
+	fleet.send(1, "i1")
+	fleet.settle()
+	fleet.check()
+	is.Equal(fleet.faults, nil)
+	is.Equal(fleet.runs["i1"], 1) // answered from the gathered turn
+	is.Equal(fleet.runs["o1"], 0)
+}
+
+// TestLateReplica lets an owner that has not seen its successor's claim ask for
+// a replica on a host that the successor has gathered from.
+func TestLateReplica(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	fleet.send(0, "i1")
+	fleet.execute(0, false)
+	fleet.deliver(0)
+	fleet.advance(time.Second)
+	fleet.takeOver(1)
+	fleet.replicateOne(0, 2)
+	is.Equal(len(fleet.answers), 0) // the answer would be lost to the successor
+	fleet.settle()
+	fleet.check()
+	is.Equal(fleet.faults, nil)
+}
+
+// TestAbandonedIntent lets an intent land after its caller was told that the
+// call did not run.
+func TestAbandonedIntent(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	fleet.outage = true
+	fleet.send(0, "o1")
+	fleet.advance(25 * time.Second)
+	is.Equal(fleet.refusals["o1"], refusal.NotRun)
+	fleet.outage = false
+	for range 20 {
+		fleet.progress(0)
+	}
+	is.Equal(fleet.runs["o1"], 0)
+	fleet.send(0, "o2")
+	for range 20 {
+		fleet.progress(0)
+	}
+	_, answered := fleet.answers["o2"]
+	is.True(answered) // the program is not held up
+}
+
+// TestExpiredResend lets a call that has run be sent again to a successor that
+// cannot read the history or wait for the outcome.
+func TestExpiredResend(t *testing.T) {
+	tests := []struct {
+		name   string
+		rounds int // of progress before the owner is lost
+	}{
+		{"intent without outcome", 1},
+		{"outcome in a history that is not loaded", 6},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := startedFleet()
+			fleet.send(0, "o1")
+			for range test.rounds {
+				fleet.progress(0)
+			}
+			is.Equal(fleet.runs["o1"], 1)
+			fleet.crash(0)
+			fleet.takeOver(1)
+			fleet.send(1, "o1")
+			fleet.outage = true
+			fleet.advance(20500 * time.Millisecond)
+			is.Equal(fleet.refusals["o1"], refusal.Unknown)
+			is.Equal(fleet.faults, nil)
+		})
+	}
+}
+
+// TestGrantBeforeDispatch holds a call back until the slice that it needs is in
+// the ledger.
+func TestGrantBeforeDispatch(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	for _, call := range []string{"i1", "i2", "i3"} {
+		fleet.send(0, call)
+	}
+	for range 8 {
+		fleet.execute(0, false)
+		fleet.deliver(0)
+		fleet.storeOne(0)
+		fleet.appendOne(0, appendTaken)
+	}
+	entry, ok := fleet.hosts[0].machine.Book().Program(simProgram)
+	is.True(ok)
+	is.True(fleet.spent <= entry.Granted()) // nothing beyond the granted slice was consumed
+}
+
+// TestBudgetSlice checks that the death of an owner forfeits at most a slice.
+func TestBudgetSlice(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	fleet.send(0, "i1")
+	fleet.execute(0, false)
+	fleet.crash(0)
+	fleet.takeOver(1)
+	entry, ok := fleet.hosts[1].machine.Book().Program(simProgram)
+	is.True(ok)
+	is.True(entry.Forfeited() > 0)
+	is.True(entry.Forfeited() <= (simBudget+7)/8)
+}
+
+// TestLimits ends programs that loop, idle or outlive their time.
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name   string
+		limits ledger.Limits
+		calls  int
+		wait   time.Duration
+		want   ledger.EndReason
+	}{
+		{"turns", ledger.Limits{Turns: 2}, 3, time.Second, ledger.EndTurns},
+		{"time", ledger.Limits{Time: time.Minute}, 1, 2 * time.Minute, ledger.EndTime},
+		{"idle", ledger.Limits{Idle: 10 * time.Second}, 1, time.Minute, ledger.EndIdle},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := startedFleet()
+			const limited = "dc.1.limited"
+			fleet.step(0, program.Opened{Token: 1, Program: limited, Slot: simSlot, Open: ledger.Open{
+				Root: limited, Workspace: "w", Budget: simBudget, Limits: test.limits,
+			}})
+			fleet.settle()
+			for call := range test.calls {
+				fleet.step(0, program.Called{Slot: simSlot, Request: program.Request{
+					Token: program.Token(10 + call), Workspace: "w", Program: limited, Call: fmt.Sprint("i", call),
+					Service: "s", Kind: program.KindEngine, Repeatable: true, Input: "in", MaxTokens: 5, Timeout: 20 * time.Second,
+				}})
+				for range 20 {
+					fleet.execute(0, false)
+					fleet.deliver(0)
+					fleet.storeOne(0)
+					fleet.appendOne(0, appendTaken)
+					fleet.readOne(0)
+				}
+			}
+			fleet.advance(test.wait)
+			fleet.settle()
+			entry, ok := fleet.hosts[0].machine.Book().Program(limited)
+			is.True(ok)
+			is.Equal(entry.Ended(), test.want)
+		})
+	}
+}
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -71,6 +71,7 @@
 	endTokens []Token
 	endAsked  bool
 	resolveAt time.Time       // when an inherited intent becomes unknown
+	lostAt    time.Time       // when its dispatcher was first seen to be gone
 	abandoned map[string]bool // attempts that this host will never dispatch
 }
 
