--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -328,6 +328,7 @@
 		}
 		limiter.waiters[id] = waiter
 		limiter.answer(limiter.spender.Arrive(now, id, name, space.Rate, deadline))
+		limiter.ask(now)
 	})
 	if !running {
 		return refusal.New(refusal.NotReady, "the host is stopping")
--- a/internal/workspace/holder.go
+++ b/internal/workspace/holder.go
@@ -45,6 +45,7 @@
 type Holder struct {
 	name     string
 	accounts map[string]*held
+	active   map[string]*held // those with demand, which may run short
 }
 
 type held struct {
@@ -60,11 +61,14 @@
 	collectInterval = 100 * time.Millisecond
 	collectLimit    = 2 * time.Second // longest pause between fruitless collects
 	horizon         = 300 * time.Millisecond
+	// quietDemand is the demand, in tokens a second, below which an account is
+	// not looked at until it is asked again.
+	quietDemand = 0.05
 )
 
 // NewHolder returns a holder of nothing. The name is unique to the process.
 func NewHolder(name string) *Holder {
-	return &Holder{name: name, accounts: make(map[string]*held)}
+	return &Holder{name: name, accounts: make(map[string]*held), active: make(map[string]*held)}
 }
 
 // Hold starts or adjusts the account of a workspace. A new account is empty
@@ -78,7 +82,10 @@
 }
 
 // Drop ends the account of a workspace and forfeits its tokens.
-func (holder *Holder) Drop(workspace string) { delete(holder.accounts, workspace) }
+func (holder *Holder) Drop(workspace string) {
+	delete(holder.accounts, workspace)
+	delete(holder.active, workspace)
+}
 
 // Holds reports whether a workspace has an account here.
 func (holder *Holder) Holds(workspace string) bool {
@@ -107,11 +114,12 @@
 			continue
 		}
 		held.account.Settle(now, use.Grant, use.Spent)
-		held.demand.add(now, use.Spent)
 		held.takeBack(now, use)
 	}
 	id, amount := held.account.Lend(now, ask.Need, GrantTTL)
 	held.unmet = math.Max(held.unmet, ask.Need-amount)
+	held.demand.add(now, amount)
+	holder.active[ask.Workspace] = held
 	return Grant{Workspace: ask.Workspace, ID: id, Holder: holder.name, Amount: amount, Held: true}
 }
 
@@ -152,11 +160,16 @@
 // Tick returns the collects of workspaces that run short.
 func (holder *Holder) Tick(now time.Time) []Collect {
 	var collects []Collect
-	for name, held := range holder.accounts {
+	for name, held := range holder.active {
 		if now.Before(held.collectAt) {
 			continue
 		}
-		wanted := held.unmet + held.demand.rate(now)*horizon.Seconds()
+		demand := held.demand.rate(now)
+		wanted := held.unmet + demand*horizon.Seconds()
+		if demand < quietDemand && held.unmet == 0 {
+			delete(holder.active, name)
+			continue
+		}
 		missing := math.Min(wanted, held.account.room()) - held.account.Tokens(now)
 		held.unmet = 0
 		if missing <= 0 || wanted <= 0 {
--- a/internal/workspace/spender.go
+++ b/internal/workspace/spender.go
@@ -17,6 +17,8 @@
 // Spender admits the requests of the workspaces that arrive at one host.
 type Spender struct {
 	purses map[string]*purse
+	active map[string]*purse // those with requests, grants or uses to report
+	swept  time.Time
 }
 
 // purse is what a host holds of one workspace.
@@ -26,7 +28,8 @@
 	asking  bool
 	askedAt time.Time
 	retryAt time.Time
-	uses    []Use // not reported yet
+	uses    []Use     // not reported yet
+	usedAt  time.Time // of the last use
 	demand  demand
 	rate    float64
 	used    time.Time
@@ -53,13 +56,18 @@
 	askPause     = 40 * time.Millisecond
 	prefetch     = 250 * time.Millisecond // demand that is asked for ahead
 	idlePurse    = time.Minute
+	activePurse  = 2 * time.Second
 	waitingFloor = 16
+	prefetchFrom = 0.5 // expected requests from which tokens are asked for ahead
+	reportFrom   = 4.0 // spent tokens that are reported without a need
 	// smallNeed is not worth a message by itself, in tokens.
 	smallNeed = 0.05
 )
 
 // NewSpender returns a spender without tokens.
-func NewSpender() *Spender { return &Spender{purses: make(map[string]*purse)} }
+func NewSpender() *Spender {
+	return &Spender{purses: make(map[string]*purse), active: make(map[string]*purse)}
+}
 
 // Len returns the number of workspaces with state on this host.
 func (spender *Spender) Len() int { return len(spender.purses) }
@@ -72,6 +80,7 @@
 		found = &purse{}
 		spender.purses[workspace] = found
 	}
+	spender.active[workspace] = found
 	found.used = now
 	found.rate = rate
 	found.demand.add(now, 1)
@@ -121,6 +130,7 @@
 		need -= taken
 		purse.note(*grant, taken)
 	}
+	purse.usedAt = now
 	return true
 }
 
@@ -171,6 +181,7 @@
 		return nil
 	}
 	purse.asking = false
+	spender.active[answer.Workspace] = purse
 	purse.retryAt = now.Add(askPause)
 	if until := asked.Add(GrantTTL); answer.Amount > 0 && now.Before(until) {
 		purse.grants = append(purse.grants, grant{
@@ -192,7 +203,7 @@
 // for each; a late answer is accepted within its time.
 func (spender *Spender) Asks(now time.Time) []Ask {
 	var asks []Ask
-	for name, purse := range spender.purses {
+	for name, purse := range spender.active {
 		if ask, ok := purse.ask(now, name); ok {
 			asks = append(asks, ask)
 		}
@@ -213,8 +224,12 @@
 	purse.expire(now)
 	ahead := math.Min(purse.demand.rate(now), purse.rate) * prefetch.Seconds()
 	need := float64(len(purse.waiting)) + ahead - purse.granted()
-	urgent := len(purse.waiting) > 0 || need > ahead/2 && need > smallNeed
-	if !urgent && purse.spent() < max(1, ahead) {
+	if now.Sub(purse.usedAt) >= GrantTTL {
+		// The loans have run out; nobody waits for the report.
+		purse.uses = nil
+	}
+	urgent := len(purse.waiting) > 0 || need > ahead/2 && need > smallNeed && ahead > prefetchFrom
+	if !urgent && purse.spent() < max(reportFrom, ahead) {
 		return Ask{}, false
 	}
 	purse.asking = true
@@ -224,6 +239,20 @@
 	return ask, true
 }
 
+// sweep forgets idle workspaces now and then.
+func (spender *Spender) sweep(now time.Time) {
+	if now.Sub(spender.swept) < idlePurse/2 {
+		return
+	}
+	spender.swept = now
+	for name, purse := range spender.purses {
+		if len(purse.waiting) == 0 && now.Sub(purse.used) > idlePurse {
+			delete(spender.purses, name)
+			delete(spender.active, name)
+		}
+	}
+}
+
 // Withdraw forgets a waiting request.
 func (spender *Spender) Withdraw(workspace string, id uint64) {
 	if purse, ok := spender.purses[workspace]; ok {
@@ -234,12 +263,13 @@
 // Tick refuses requests that have waited too long and forgets idle workspaces.
 func (spender *Spender) Tick(now time.Time) []Admission {
 	var admissions []Admission
-	for name, purse := range spender.purses {
+	for name, purse := range spender.active {
 		admissions = purse.serve(now, name, admissions)
-		if len(purse.waiting) == 0 && now.Sub(purse.used) > idlePurse {
-			delete(spender.purses, name)
+		if len(purse.waiting) == 0 && !purse.asking && now.Sub(purse.used) > activePurse {
+			delete(spender.active, name)
 		}
 	}
+	spender.sweep(now)
 	slices.SortFunc(admissions, func(a, b Admission) int { return int(a.ID) - int(b.ID) })
 	return admissions
 }
