--- /dev/null
+++ b/internal/daemon/cluster_test.go
@@ -0,0 +1,285 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"go.uber.org/fx"
+
+	"github.com/godwitspread/godwitspread/internal/configuration"
+	"github.com/godwitspread/godwitspread/internal/key"
+	"github.com/godwitspread/godwitspread/internal/platform"
+	"github.com/godwitspread/godwitspread/internal/standin"
+	"github.com/godwitspread/godwitspread/pkg/client"
+)
+
+// cluster is a fleet of daemons in this process, with stand-ins.
+type cluster struct {
+	t        *testing.T
+	log      *standin.Log
+	platform *standin.Platform
+	server   *httptest.Server
+	engine   *standin.Engine
+	filing   *standin.Service
+	records  *standin.Service
+	nodes    []*node
+	secrets  map[string]string
+	keys     map[string]string
+}
+
+// node is one daemon of a cluster.
+type node struct {
+	daemon *Daemon
+	app    *fx.App
+	down   bool
+}
+
+const clusterText = `data_centres:
+  - {name: a, hosts: 4}
+  - {name: b, hosts: 2}
+services:
+  - {name: draft, kind: engine, repeatable: true, targets: [{data_centre: a, address: "%[1]s"}, {data_centre: b, address: "%[1]s"}]}
+  - {name: filing, kind: plain, cost: 10, timeout: 20s, targets: [{data_centre: a, address: "%[2]s"}, {data_centre: b, address: "%[2]s"}]}
+  - {name: records, kind: plain, repeatable: true, targets: [{data_centre: a, address: "%[3]s"}, {data_centre: b, address: "%[3]s"}]}
+  - {name: notices, kind: plain, repeatable: true, open: true, targets: [{data_centre: a, address: "%[3]s"}, {data_centre: b, address: "%[3]s"}]}
+workspaces:
+  - {name: council, rate: 200, burst: 400}
+  - {name: temple, rate: 200, burst: 400}
+  - {name: small, rate: 1, burst: 4}
+`
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// newCluster starts the stand-ins and a daemon for each data centre named.
+func newCluster(t *testing.T, places ...string) *cluster {
+	t.Helper()
+	random := mathrand.New(mathrand.NewPCG(1, 1))
+	cluster := &cluster{t: t, secrets: make(map[string]string), keys: make(map[string]string)}
+	cluster.log = standin.NewLog(clockwork.NewRealClock(), random.Float64, time.Hour, 2000)
+	cluster.platform = standin.NewPlatform(cluster.log, 0)
+	cluster.server = httptest.NewServer(cluster.platform.Handler())
+	cluster.engine = standin.NewEngine(standin.EngineSettings{Slots: 32, CacheTokens: 1 << 20, Step: 10 * time.Millisecond})
+	cluster.filing, cluster.records = standin.NewService(20*time.Millisecond), standin.NewService(0)
+	var addresses []any
+	for _, handler := range []http.Handler{cluster.engine.Handler(), cluster.filing, cluster.records} {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.CloseClientConnections)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	text := fmt.Sprintf(clusterText, addresses...)
+	cluster.publish(configuration.Record{ID: rand.Text(), Change: &configuration.Change{Version: 1, Text: []byte(text)}})
+	for _, workspace := range []string{"council", "temple", "small"} {
+		cluster.give(workspace)
+	}
+	for _, place := range places {
+		cluster.start(place)
+	}
+	cluster.waitReady()
+	t.Cleanup(cluster.close)
+	return cluster
+}
+
+func (cluster *cluster) publish(record configuration.Record) {
+	data, err := record.Encode()
+	if err != nil {
+		cluster.t.Fatal(err)
+	}
+	if _, err := cluster.log.Append(context.Background(), platform.ConfigurationStream, data); err != nil {
+		cluster.t.Fatal(err)
+	}
+}
+
+func (cluster *cluster) give(workspace string) {
+	secret, given := key.Generate(workspace)
+	cluster.secrets[workspace], cluster.keys[workspace] = secret, given.ID
+	cluster.publish(configuration.Record{ID: rand.Text(), Give: &configuration.Give{
+		Key: given.ID, Digest: given.Digest, Workspace: workspace,
+	}})
+}
+
+// start adds a daemon.
+func (cluster *cluster) start(place string) *node {
+	settings, err := Parse([]string{
+		"--host", fmt.Sprintf("%s%d", place, len(cluster.nodes)), "--data-centre", place, "--platform", cluster.server.URL,
+		"--caller-address", freeAddress(cluster.t), "--peer-address", freeAddress(cluster.t),
+		"--metrics-address", freeAddress(cluster.t), "--peer-secret", "a-secret-for-tests-only",
+		"--drain-lag", "300ms", "--drain-timeout", "30s", "--append-interval", "5ms", "--max-body", "65536",
+	})
+	if err != nil {
+		cluster.t.Fatal(err)
+	}
+	node := &node{}
+	node.app = fx.New(Module(settings, &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}), fx.Populate(&node.daemon))
+	if err := node.app.Start(context.Background()); err != nil {
+		cluster.t.Fatal(err)
+	}
+	cluster.nodes = append(cluster.nodes, node)
+	cluster.list()
+	return node
+}
+
+// list tells the platform which hosts run.
+func (cluster *cluster) list() {
+	var hosts []platform.Host
+	for _, node := range cluster.nodes {
+		if !node.down {
+			hosts = append(hosts, platform.Host{
+				Name: node.daemon.own.Name, DataCentre: node.daemon.own.DataCentre,
+				Address: node.daemon.settings.PeerAddress, State: platform.HostLive,
+			})
+		}
+	}
+	cluster.platform.SetHosts(hosts)
+}
+
+// stop ends a daemon as planned.
+func (cluster *cluster) stop(node *node) {
+	if node.down {
+		return
+	}
+	node.down = true
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := node.app.Stop(ctx); err != nil {
+		cluster.t.Errorf("stop of %s: %v", node.daemon.own.Name, err)
+	}
+	cluster.list()
+}
+
+// kill ends a daemon as a failure does: nothing is handed over or written.
+func (cluster *cluster) kill(node *node) {
+	node.down = true
+	node.daemon.cancel()
+	node.daemon.transport.Close()
+	node.daemon.callers.Close()
+	node.daemon.operators.Close()
+}
+
+func (cluster *cluster) close() {
+	for _, node := range cluster.nodes {
+		if !node.down {
+			cluster.kill(node)
+		}
+	}
+	cluster.server.CloseClientConnections()
+	cluster.server.Close()
+}
+
+// eventually waits for a condition. Its time limit only ends a failing test.
+func (cluster *cluster) eventually(what string, holds func() bool) {
+	cluster.t.Helper()
+	for limit := time.Now().Add(60 * time.Second); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(limit) {
+			cluster.t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
+// waitReady waits until every host is ready and every slot has a live owner.
+func (cluster *cluster) waitReady() {
+	cluster.t.Helper()
+	cluster.eventually("every slot has a live owner", func() bool {
+		alive := make(map[string]bool)
+		for _, node := range cluster.nodes {
+			if !node.down {
+				alive[node.daemon.own.Incarnation] = true
+			}
+		}
+		for _, node := range cluster.nodes {
+			if node.down {
+				continue
+			}
+			if !node.daemon.Status().Ready {
+				return false
+			}
+			for _, ownership := range node.daemon.owner.Owners() {
+				if !alive[ownership.Owner.Incarnation] {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// url returns the address of a host for callers.
+func (node *node) url() string { return "http://" + node.daemon.settings.CallerAddress }
+
+// client returns a client of a workspace for hosts, all if none is named.
+func (cluster *cluster) client(workspace string, nodes ...*node) *client.Client {
+	if len(nodes) == 0 {
+		nodes = cluster.nodes
+	}
+	var urls []string
+	for _, node := range nodes {
+		urls = append(urls, node.url())
+	}
+	return client.New(cluster.secrets[workspace], urls...)
+}
+
+// ownerOf returns the host that owns a program.
+func (cluster *cluster) ownerOf(id string) *node {
+	for _, node := range cluster.nodes {
+		if node.down {
+			continue
+		}
+		view, err := node.daemon.router.Inspect(context.Background(), id)
+		if err != nil {
+			continue
+		}
+		for _, other := range cluster.nodes {
+			if other.daemon.own.Name == view.Owner && !other.down {
+				return other
+			}
+		}
+	}
+	cluster.t.Fatalf("no owner of program %s", id)
+	return nil
+}
+
+func mustOpen(t *testing.T, caller *client.Client, options client.OpenOptions) string {
+	t.Helper()
+	id, err := caller.Open(context.Background(), options)
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	return id
+}
+
+func draft(id, input string) client.Call {
+	return client.Call{ID: id, Service: "draft", Input: input, Tokens: 64, Timeout: 30 * time.Second}
+}
+
+// checkHistory compares a history with what an engine answers to its prompts.
+func checkHistory(is *is.I, turns []client.Turn) {
+	is.Helper()
+	var prompt strings.Builder
+	for index, turn := range turns {
+		is.Equal(turn.Turn, index+1) // turns stand in order
+		prompt.WriteString(turn.Input + "\n")
+		if turn.Service == "draft" {
+			is.Equal(turn.Output, standin.Completion(prompt.String(), 64)) // the answer to exactly this history
+		}
+		prompt.WriteString(turn.Output + "\n")
+	}
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -24,7 +25,8 @@
 
 // New returns metrics that are served to Prometheus.
 func New(host, dataCentre string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "godwitspread", Tags: map[string]string{"host": host, "data_centre": dataCentre},
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
