Prove the daemons' promises over real sockets

Cause: the promises of the whole path had no test that causes their failures. Found: a call that the owner refused at its deadline was reported as unknown by the entry host, which now waits 800 ms for the owner's word.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -50,10 +50,10 @@
   - {name: a, hosts: 4}
   - {name: b, hosts: 2}
 services:
-  - {name: draft, kind: engine, repeatable: true, targets: [{data_centre: a, address: "%[1]s"}, {data_centre: b, address: "%[1]s"}]}
-  - {name: filing, kind: plain, cost: 10, timeout: 20s, targets: [{data_centre: a, address: "%[2]s"}, {data_centre: b, address: "%[2]s"}]}
-  - {name: records, kind: plain, repeatable: true, targets: [{data_centre: a, address: "%[3]s"}, {data_centre: b, address: "%[3]s"}]}
-  - {name: notices, kind: plain, repeatable: true, open: true, targets: [{data_centre: a, address: "%[3]s"}, {data_centre: b, address: "%[3]s"}]}
+  - {name: draft, kind: engine, repeatable: true, targets: [{data_centre: a, address: "%[1]s"}, {data_centre: b, address: "%[2]s"}]}
+  - {name: filing, kind: plain, cost: 10, timeout: 20s, targets: [{data_centre: a, address: "%[3]s"}, {data_centre: b, address: "%[4]s"}]}
+  - {name: records, kind: plain, repeatable: true, targets: [{data_centre: a, address: "%[5]s"}, {data_centre: b, address: "%[6]s"}]}
+  - {name: notices, kind: plain, repeatable: true, open: true, targets: [{data_centre: a, address: "%[5]s"}, {data_centre: b, address: "%[6]s"}]}
 workspaces:
   - {name: council, rate: 200, burst: 400}
   - {name: temple, rate: 200, burst: 400}
@@ -82,11 +82,16 @@
 	cluster.filing, cluster.records = standin.NewService(20*time.Millisecond), standin.NewService(0)
 	var addresses []any
 	for _, handler := range []http.Handler{cluster.engine.Handler(), cluster.filing, cluster.records} {
-		server := httptest.NewServer(handler)
-		t.Cleanup(server.CloseClientConnections)
-		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+		for range 2 {
+			server := httptest.NewServer(handler)
+			t.Cleanup(server.CloseClientConnections)
+			addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+		}
 	}
 	text := fmt.Sprintf(clusterText, addresses...)
+	if _, err := configuration.Parse([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
 	cluster.publish(configuration.Record{ID: rand.Text(), Change: &configuration.Change{Version: 1, Text: []byte(text)}})
 	for _, workspace := range []string{"council", "temple", "small"} {
 		cluster.give(workspace)
@@ -188,7 +193,7 @@
 // eventually waits for a condition. Its time limit only ends a failing test.
 func (cluster *cluster) eventually(what string, holds func() bool) {
 	cluster.t.Helper()
-	for limit := time.Now().Add(60 * time.Second); !holds(); time.Sleep(20 * time.Millisecond) {
+	for limit := time.Now().Add(30 * time.Second); !holds(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(limit) {
 			cluster.t.Fatalf("timed out waiting until %s", what)
 		}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -44,6 +44,9 @@
 	backoffLimit = 500 * time.Millisecond
 	relayChoices = 2
 	askTimeout   = 15 * time.Second
+	// answerGrace is how long past its deadline a call waits for the owner to
+	// say what became of it.
+	answerGrace = 800 * time.Millisecond
 )
 
 // NewRouter returns a router. The seed is for the jitter of retries.
@@ -117,7 +120,7 @@
 	if err != nil {
 		return program.Answer{}, refusal.New(refusal.NotFound, "program %q does not exist", message.Program)
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(message.TimeoutMillis)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(message.TimeoutMillis)*time.Millisecond+answerGrace)
 	defer cancel()
 	deadline := router.clock.Now().Add(time.Duration(message.TimeoutMillis) * time.Millisecond)
 	sent := false
@@ -133,7 +136,7 @@
 			return answer, nil
 		}
 		reason, again := retryable(err)
-		if !again || ctx.Err() != nil || !router.pause(ctx, reason, try) {
+		if !again || !router.clock.Now().Before(deadline) || !router.pause(ctx, reason, try) {
 			return program.Answer{}, givenUp(ctx, err, sent)
 		}
 	}
