--- /dev/null
+++ b/internal/configuration/configuration_test.go
@@ -0,0 +1,172 @@
+package configuration_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/godwitspread/godwitspread/internal/configuration"
+)
+
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"sahakorn", "brandtaeppe"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile("../../examples/" + name + ".yaml")
+			is.NoErr(err)
+			text, err := configuration.Parse(data)
+			is.NoErr(err)
+			is.Equal(len(text.DataCentres), 3)
+			is.Equal(text.Services[0].Window, 8)
+		})
+	}
+}
+
+const validText = `data_centres:
+  - {name: a, hosts: 2}
+services:
+  - {name: draft, kind: engine, repeatable: true, targets: [{data_centre: a, address: "127.0.0.1:1"}]}
+workspaces:
+  - {name: w, rate: 5, burst: 10}
+`
+
+func TestProblems(t *testing.T) {
+	tests := []struct {
+		name string
+		from string
+		to   string
+		want []string
+	}{
+		{"syntax", "data_centres:", "data_centres: [", []string{"line"}},
+		{"unknown field", "hosts: 2", "hosts: 2, colour: red", []string{`line 2, column 25: $.data_centres[0].colour: field "colour" does not exist here`}},
+		{"wrong type", "rate: 5", "rate: fast", []string{"line 6"}},
+		{"impossible number", "burst: 10", "burst: 0", []string{"line 6, column 31: $.workspaces[0].burst: burst 0 is outside 1"}},
+		{"dangling name", "data_centre: a,", "data_centre: z,", []string{`data centre "z" does not exist`}},
+		{"dangling dependency", "kind: engine,", "kind: engine, depends_on: [x],", []string{`service "x" does not exist`}},
+		{"cycle", "kind: engine,", "kind: engine, depends_on: [draft],", []string{"depends on itself through a cycle"}},
+		{"duplicate name", "  - {name: w, rate: 5, burst: 10}", "  - {name: w, rate: 5, burst: 10}\n  - {name: w, rate: 5, burst: 10}", []string{"already used by $.workspaces[0]"}},
+		{"address by name", `"127.0.0.1:1"`, `"localhost:1"`, []string{"is not an IP number with a port"}},
+		{"several at once", "rate: 5, burst: 10", "rate: -1, burst: 0, colour: red", []string{"rate -1", "burst 0", `"colour"`}},
+		{"engine that may not repeat", "repeatable: true, ", "", []string{"an engine's calls are repeatable"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := configuration.Parse([]byte(strings.Replace(validText, test.from, test.to, 1)))
+			var problems configuration.Problems
+			is.True(errors.As(err, &problems))
+			for _, want := range test.want {
+				is.True(strings.Contains(err.Error(), want)) // the problem with its place
+			}
+		})
+	}
+}
+
+func change(version, base uint64, text string) configuration.Record {
+	return configuration.Record{ID: fmt.Sprint("c", version, base, len(text)), Change: &configuration.Change{Version: version, Base: base, Text: []byte(text)}}
+}
+
+func refresh(version uint64) configuration.Record {
+	record := change(version, 0, validText)
+	record.Change.Refresh = true
+	return record
+}
+
+func give(id string) configuration.Record {
+	return configuration.Record{ID: "g" + id, Give: &configuration.Give{Key: id, Digest: []byte("digest of " + id), Workspace: "w"}}
+}
+
+func withdraw(id string) configuration.Record {
+	return configuration.Record{ID: "w" + id, Withdraw: &configuration.Withdraw{Key: id}}
+}
+
+func TestFold(t *testing.T) {
+	tests := []struct {
+		name    string
+		records []configuration.Record
+		want    configuration.Verdict // of the last record
+		version uint64
+	}{
+		{"first", []configuration.Record{change(1, 0, validText)}, configuration.Accepted, 1},
+		{"race lost", []configuration.Record{change(1, 0, validText), change(1, 0, validText+"# mine")}, configuration.Outdated, 1},
+		{"made from an old version", []configuration.Record{change(1, 0, validText), change(2, 1, validText), change(2, 1, validText+"# mine")}, configuration.Outdated, 2},
+		{"faulty text", []configuration.Record{change(1, 0, "nonsense: 1")}, configuration.Faulty, 0},
+		{"refresh of the version in force", []configuration.Record{change(1, 0, validText), refresh(1)}, configuration.Refreshed, 1},
+		{"late refresh never reverts", []configuration.Record{change(1, 0, validText), change(2, 1, validText), refresh(1)}, configuration.Outdated, 2},
+		{"start from a refresh", []configuration.Record{refresh(7)}, configuration.Accepted, 7},
+		{"give after withdrawal", []configuration.Record{give("k"), withdraw("k"), give("k")}, configuration.Final, 0},
+		{"withdrawal before the give", []configuration.Record{withdraw("k"), give("k")}, configuration.Final, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			state := configuration.NewState()
+			var verdict configuration.Verdict
+			for offset, record := range test.records {
+				verdict = state.Apply(int64(offset), record)
+			}
+			is.Equal(verdict, test.want)
+			is.Equal(state.Version(), test.version)
+			is.Equal(len(state.Ring().Keys()), 0)
+		})
+	}
+}
+
+// TestSnapshot checks that a relayed view never reverts a longer one and never
+// revives a key.
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	behind, ahead := configuration.NewState(), configuration.NewState()
+	records := []configuration.Record{change(1, 0, validText), give("k"), give("l"), change(2, 1, validText+"# two"), withdraw("k")}
+	for offset, record := range records {
+		ahead.Apply(int64(offset), record)
+		if offset < 3 {
+			behind.Apply(int64(offset), record)
+		}
+	}
+	is.True(!ahead.Merge(behind.Snapshot()))
+	is.Equal(ahead.Version(), uint64(2))
+	is.True(!ahead.Ring().Valid("k"))
+	is.True(behind.Merge(ahead.Snapshot()))
+	is.Equal(behind.Snapshot(), ahead.Snapshot())
+}
+
+func TestRecordRoundTrip(t *testing.T) {
+	is := is.New(t)
+	record := change(1, 0, strings.Repeat(validText, 100))
+	data, err := record.Encode()
+	is.NoErr(err)
+	is.True(len(data) < len(record.Change.Text)/10) // texts travel compressed
+	decoded, err := configuration.Decode(data)
+	is.NoErr(err)
+	is.Equal(decoded, record)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(validText))
+	f.Add([]byte("services: [{name: a, depends_on: [a]}]"))
+	f.Add([]byte("a: &a [*a]"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		text, err := configuration.Parse(data)
+		if (text == nil) == (err == nil) {
+			t.Fatalf("text %v and error %v", text, err)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := give("k").Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if record, err := configuration.Decode(data); err == nil {
+			configuration.NewState().Apply(0, record)
+		}
+	})
+}
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -80,9 +80,7 @@
 // end without a reply; its appends may still land.
 func (fleet *fleet) replace(index int) {
 	host := fleet.hosts[index]
-	for _, batch := range host.appends {
-		fleet.late = append(fleet.late, batch)
-	}
+	fleet.late = append(fleet.late, host.appends...)
 	fleet.serial++
 	incarnation := fmt.Sprintf("%s-%d", host.name, fleet.serial)
 	settings := program.DefaultSettings(host.name, incarnation)
--- a/internal/target/order.go
+++ b/internal/target/order.go
@@ -227,7 +227,7 @@
 	}
 	last := worst.requests.Items()[0]
 	for _, request := range worst.requests.Items() {
-		if request.order > last.order {
+		if lessOrdered(last, request) {
 			last = request
 		}
 	}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -39,6 +39,7 @@
 	permits    map[uint64]*Target
 	holders    map[string]*Target // where a program's prefix is
 	quarantine *quarantine
+	spare      spares
 	now        time.Time
 	decisions  []Decision
 }
@@ -92,7 +93,7 @@
 func (pool *Pool) add(address string) {
 	target := &Target{
 		address: address, window: pool.settings.Window, running: make(map[uint64]*Request),
-		cached: make(map[uint64]int), prefixes: newPrefixes(), speed: newSpeed(),
+		cached: make(map[uint64]int), prefixes: newPrefixes(&pool.spare), speed: newSpeed(),
 		parked: pool.order.Fork(),
 	}
 	pool.targets[address] = target
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -141,6 +141,21 @@
 	total    int
 	entries  map[string]*prefix
 	head     prefix // ring of entries; head.next is the oldest
+	spare    *spares
+}
+
+// spares keeps the entries that one target has dropped for the next that
+// needs one.
+type spares struct{ list []*prefix }
+
+func (spares *spares) take() *prefix {
+	if len(spares.list) == 0 {
+		return &prefix{}
+	}
+	last := len(spares.list) - 1
+	entry := spares.list[last]
+	spares.list = spares.list[:last]
+	return entry
 }
 
 type prefix struct {
@@ -151,8 +166,8 @@
 
 const initialPrefixCapacity = 400_000
 
-func newPrefixes() *prefixes {
-	prefixes := &prefixes{capacity: initialPrefixCapacity, entries: make(map[string]*prefix)}
+func newPrefixes(spare *spares) *prefixes {
+	prefixes := &prefixes{capacity: initialPrefixCapacity, entries: make(map[string]*prefix), spare: spare}
 	prefixes.head.prev, prefixes.head.next = &prefixes.head, &prefixes.head
 	return prefixes
 }
@@ -169,7 +184,8 @@
 func (prefixes *prefixes) touch(program string, tokens int) {
 	entry, ok := prefixes.entries[program]
 	if !ok {
-		entry = &prefix{program: program}
+		entry = prefixes.spare.take()
+		entry.program = program
 		prefixes.entries[program] = entry
 	} else {
 		prefixes.unlink(entry)
@@ -197,13 +213,14 @@
 	prefixes.unlink(entry)
 	prefixes.total -= entry.tokens
 	delete(prefixes.entries, program)
+	prefixes.spare.list = append(prefixes.spare.list, entry)
 	return true
 }
 
 // clear forgets everything, as after a crash of the target.
 func (prefixes *prefixes) clear() {
 	capacity := prefixes.capacity
-	*prefixes = *newPrefixes()
+	*prefixes = *newPrefixes(prefixes.spare)
 	prefixes.capacity = capacity
 	prefixes.head.prev, prefixes.head.next = &prefixes.head, &prefixes.head
 }
--- a/internal/workspace/bound_test.go
+++ b/internal/workspace/bound_test.go
@@ -41,7 +41,6 @@
 	burst    float64
 	spenders []*workspace.Spender
 	holders  []*workspace.Holder
-	wait     []time.Time // until when a new holder must not accrue
 	flying   []message
 	serial   int
 	level    float64
