Consolidate histories before the log drops them, and add a load tool

Cause: a program older than the log's retention would lose its first turns; no tool ran programs of both deployments against daemons. Change: a quiet program's history is stored as one entry and its head moved by a carry; no turn is chained to the old head in between. Conclusion: programs may live longer than the log's retention.

--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -39,6 +39,7 @@
 		{"engine", "Serve a stand-in of a model engine", &engineCommand{tool: tool}},
 		{"service", "Serve a stand-in of a plain service", &serviceCommand{tool: tool}},
 		{"policies", "Measure order and placement on fake engines, in virtual time", &policiesCommand{tool: tool}},
+		{"load", "Run programs against entry hosts on this machine", &loadCommand{tool: tool}},
 		{"slopes", "Measure the slopes of the capacity page", &slopesCommand{tool: tool}},
 		{"rates", "Measure how workspaces are counted, in virtual time", &ratesCommand{tool: tool}},
 		{"demo", "Run three hosts, kill an owner, and show that nothing was lost or doubled", &demoCommand{tool: tool}},
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -253,7 +253,7 @@
 		before = owner.marks[0].offset + 1
 		owner.marks = owner.marks[1:]
 	}
-	owner.step(program.Refresh{Before: before})
+	owner.step(program.Refresh{Before: before, Age: owner.settings.LogRetention / 4})
 }
 
 // step runs the machine and carries out its effects. It belongs to the loop.
--- a/internal/program/call.go
+++ b/internal/program/call.go
@@ -119,6 +119,7 @@
 		return
 	}
 	machine.commitNext(program, entry)
+	machine.consolidate(program, entry)
 	machine.resumeGranting(program)
 	for program.active == nil && len(program.queue) > 0 {
 		if !machine.startNext(program, entry) {
@@ -189,7 +190,7 @@
 	if request.Repeatable {
 		return intent != nil && !program.abandoned[intent.Attempt]
 	}
-	return intent != nil || len(program.pipeline) > 0
+	return intent != nil || len(program.pipeline) > 0 || program.consolidating
 }
 
 // answerFromHistory replays a call that the history already holds.
--- a/internal/program/commit.go
+++ b/internal/program/commit.go
@@ -103,7 +103,7 @@
 
 // commitNext starts the commit of the first provisional turn.
 func (machine *Machine) commitNext(program *state, entry *ledger.Program) {
-	if len(program.pipeline) == 0 || entry.Intent() != nil {
+	if len(program.pipeline) == 0 || entry.Intent() != nil || program.consolidating {
 		return
 	}
 	turn := program.pipeline[0]
@@ -138,6 +138,10 @@
 		return
 	}
 	entry, ok := machine.book.Program(program.id)
+	if ok && program.consolidating && entry.Turns() == event.Number && machine.holds(program.slot) {
+		machine.consolidatedAt(program, entry, event.Location)
+		return
+	}
 	if ok && entry.Intent() != nil && entry.Intent().Call == event.Call && machine.holds(program.slot) {
 		machine.recordUnknown(program, entry.Intent(), event.Location)
 	}
@@ -177,6 +181,8 @@
 		machine.outcomeApplied(program, record, verdict)
 	case record.Turn != nil:
 		machine.turnApplied(program, record, verdict)
+	case record.Carry != nil:
+		machine.carryApplied(program, record, verdict)
 	}
 	machine.advance(program)
 	if record.Grant != nil {
--- a/internal/program/event.go
+++ b/internal/program/event.go
@@ -149,8 +149,12 @@
 // WorkspacesChanged ends the programs of workspaces that are not named.
 type WorkspacesChanged struct{ Names map[string]bool }
 
-// Refresh repeats programs whose records are older than the offset.
-type Refresh struct{ Before int64 }
+// Refresh repeats what the log is about to drop: programs whose records are
+// older than the offset, and histories that were not consolidated for the age.
+type Refresh struct {
+	Before int64
+	Age    time.Duration
+}
 
 // Tick lets time pass.
 type Tick struct{}
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -297,7 +297,9 @@
 	var entries []ledger.Entry
 	for location := head; !location.IsZero(); {
 		entry := fleet.history[location.Offset][location.Index-1]
-		entries = append([]ledger.Entry{entry}, entries...)
+		earlier := entry.Earlier
+		entry.Earlier = nil
+		entries = append(append(earlier[:len(earlier):len(earlier)], entry), entries...)
 		location = entry.Prev
 	}
 	return entries
--- a/internal/program/limit.go
+++ b/internal/program/limit.go
@@ -187,9 +187,8 @@
 }
 
 // refresh repeats the records of slots and programs that were last written
-// before the offset. Histories are consolidated by the shell, which stores an
-// entry with the earlier turns and reports its location.
-func (machine *Machine) refresh(before int64) {
+// before an offset, and gathers old histories into one entry each.
+func (machine *Machine) refresh(event Refresh) {
 	var records []ledger.Record
 	for slot := range machine.slots {
 		if !machine.holds(slot) {
@@ -203,15 +202,23 @@
 		records = append(records, claim)
 		for _, id := range machine.book.Slot(slot).Programs() {
 			entry, _ := machine.book.Program(id)
-			if entry.Touched() >= before {
-				continue
+			if entry.Touched() < event.Before {
+				carry := machine.record(slot, id)
+				carry.Carry = entry.CarryOf()
+				records = append(records, carry)
+			}
+			program := machine.state(id, slot)
+			if entry.Ended() == "" && entry.Turns() > 0 && machine.now.Sub(program.consolidated) >= event.Age {
+				program.wantsOneEntry = true
 			}
-			carry := machine.record(slot, id)
-			carry.Carry = entry.CarryOf()
-			records = append(records, carry)
 		}
 	}
 	if len(records) > 0 {
 		machine.emit(Append{Records: records})
 	}
+	for _, id := range sortedIDs(machine.programs) {
+		if program, ok := machine.programs[id]; ok && program.wantsOneEntry {
+			machine.advance(program)
+		}
+	}
 }
--- a/internal/program/machine.go
+++ b/internal/program/machine.go
@@ -150,7 +150,7 @@
 		machine.workspaces = event.Names
 		machine.endForeign()
 	case Refresh:
-		machine.refresh(event.Before)
+		machine.refresh(event)
 	case Tick:
 		machine.tick()
 	}
--- a/internal/program/protocol_test.go
+++ b/internal/program/protocol_test.go
@@ -88,6 +88,9 @@
 			"time": func(t *rapid.T) {
 				fleet.advance(time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * time.Millisecond)
 			},
+			"refresh": func(t *rapid.T) {
+				fleet.step(host.Draw(t, "host"), program.Refresh{Before: int64(len(fleet.ledger)), Age: time.Second})
+			},
 			"crash": func(t *rapid.T) { fleet.crash(host.Draw(t, "host")) },
 			"": func(t *rapid.T) {
 				if len(fleet.faults) > 0 {
@@ -296,6 +299,42 @@
 	is.True(entry.Granted() >= 102)
 }
 
+// TestConsolidation lets the log drop everything before a refresh. A successor
+// still finds the whole history.
+func TestConsolidation(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	for _, call := range []string{"i1", "i2", "o1", "i3"} {
+		fleet.send(0, call)
+		for range 8 {
+			fleet.progress(0)
+		}
+	}
+	expired := len(fleet.history)
+	fleet.advance(time.Hour)
+	fleet.step(0, program.Refresh{Before: int64(len(fleet.ledger)), Age: time.Minute})
+	for range 8 {
+		fleet.progress(0)
+	}
+	for offset := range expired {
+		fleet.history[offset] = nil // the log has dropped it
+	}
+	fleet.send(0, "i4")
+	for range 8 {
+		fleet.progress(0)
+	}
+	fleet.crash(0)
+	fleet.takeOver(1)
+	fleet.send(1, "i2")
+	fleet.settle()
+	fleet.check()
+	is.Equal(fleet.faults, nil)
+	is.Equal(fleet.runs["i2"], 1) // answered from the consolidated history
+	entry, ok := fleet.hosts[0].machine.Book().Program(simProgram)
+	is.True(ok)
+	is.Equal(entry.Turns(), 5)
+}
+
 // TestBudgetSlice checks that the death of an owner forfeits at most a slice.
 func TestBudgetSlice(t *testing.T) {
 	is := is.New(t)
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -66,13 +66,19 @@
 	granting  int64
 	since     time.Time // when this host began to count the age
 	idleSince time.Time
-	opening   []Token
-	ending    ledger.EndReason
-	endTokens []Token
-	endAsked  bool
-	resolveAt time.Time       // when an inherited intent becomes unknown
-	lostAt    time.Time       // when its dispatcher was first seen to be gone
-	abandoned map[string]bool // attempts that this host will never dispatch
+	// consolidated is when the history was last known to stand in one entry
+	// whose age is bounded; consolidating while such an entry is stored.
+	consolidated  time.Time
+	wantsOneEntry bool
+	consolidating bool
+	carryID       string
+	opening       []Token
+	ending        ledger.EndReason
+	endTokens     []Token
+	endAsked      bool
+	resolveAt     time.Time       // when an inherited intent becomes unknown
+	lostAt        time.Time       // when its dispatcher was first seen to be gone
+	abandoned     map[string]bool // attempts that this host will never dispatch
 }
 
 // state returns the runtime state of a program, created on first use.
@@ -82,7 +88,7 @@
 	}
 	program := &state{
 		id: id, slot: slot, calls: make(map[string]int),
-		since: machine.now, idleSince: machine.now, abandoned: make(map[string]bool),
+		since: machine.now, idleSince: machine.now, consolidated: machine.now, abandoned: make(map[string]bool),
 	}
 	machine.programs[id] = program
 	return program
--- a/internal/program/takeover.go
+++ b/internal/program/takeover.go
@@ -33,6 +33,7 @@
 		program := machine.state(id, slot)
 		program.loaded = false
 		program.loading = false
+		program.consolidating = false
 		if entry.Intent() != nil && !machine.running(program, entry.Intent().Attempt) {
 			program.resolveAt = machine.now.Add(entry.Intent().Timeout + machine.settings.OutcomeGrace)
 		}
