Pack messages compactly and keep them readable between versions

Cause: structs packed as arrays are refused by a host whose version has another number of fields, which a rolling replacement would meet. Found by a test that reads the messages of one version with another. Change: one codec package packs maps without empty fields and with short tags on frequent messages.

--- a/internal/bench/rate_fleet.go
+++ b/internal/bench/rate_fleet.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/godwitspread/godwitspread/internal/codec"
 
 	"github.com/godwitspread/godwitspread/internal/configuration"
 	"github.com/godwitspread/godwitspread/internal/host"
@@ -166,7 +166,7 @@
 
 // send counts a message and delivers it.
 func (fleet *rateFleet) send(from, to *rateHost, message any, deliver func()) {
-	data, err := msgpack.Marshal(message)
+	data, err := codec.Marshal(message)
 	if err != nil {
 		panic(err) // messages of this program always encode
 	}
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/godwitspread/godwitspread/internal/codec"
 
 	"github.com/godwitspread/godwitspread/internal/configuration"
 	"github.com/godwitspread/godwitspread/internal/host"
@@ -90,7 +90,7 @@
 }
 
 func sizeOf(value any) float64 {
-	data, err := msgpack.Marshal(value)
+	data, err := codec.Marshal(value)
 	if err != nil {
 		panic(err) // values of this program always encode
 	}
@@ -242,12 +242,12 @@
 		membership := members(size)
 		return microsOf(5000, func(run int) {
 			beat.Name = fmt.Sprintf("host-%03d", run%size)
-			data, err := msgpack.Marshal(beat)
+			data, err := codec.Marshal(beat)
 			if err != nil {
 				panic(err)
 			}
 			var heard host.Heartbeat
-			if err := msgpack.Unmarshal(data, &heard); err != nil {
+			if err := codec.Unmarshal(data, &heard); err != nil {
 				panic(err)
 			}
 			membership.Hear(time.Unix(1000, 0), heard)
--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/godwitspread/godwitspread/internal/codec"
 )
 
 // Change proposes a text. It counts only if Base is the version in force at
@@ -58,7 +58,7 @@
 		change.Text = packed.Bytes()
 		record.Change = &change
 	}
-	data, err := msgpack.Marshal(record)
+	data, err := codec.Marshal(record)
 	if err != nil {
 		return nil, fmt.Errorf("encode configuration record: %w", err)
 	}
@@ -68,7 +68,7 @@
 // Decode unpacks a record.
 func Decode(data []byte) (Record, error) {
 	var record Record
-	if err := msgpack.Unmarshal(data, &record); err != nil {
+	if err := codec.Unmarshal(data, &record); err != nil {
 		return Record{}, fmt.Errorf("decode configuration record: %w", err)
 	}
 	bodies := 0
--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -16,17 +16,16 @@
 
 // Heartbeat is what a host tells the others about itself.
 type Heartbeat struct {
-	_msgpack             struct{} `msgpack:",as_array"` // fields go by their order
-	Name                 string   `msgpack:"name"`
-	Incarnation          string   `msgpack:"incarnation"`
-	DataCentre           string   `msgpack:"data_centre"`
-	Address              string   `msgpack:"address"`
-	Leaving              bool     `msgpack:"leaving,omitempty"`
-	Version              uint64   `msgpack:"version"`
-	ConfigurationNext    int64    `msgpack:"configuration_next"`
-	ConfigurationAgeMS   int64    `msgpack:"configuration_age_ms"`
-	ConfigurationCurrent bool     `msgpack:"configuration_current"`
-	LedgerNext           int64    `msgpack:"ledger_next"`
+	Name                 string `msgpack:"n"`
+	Incarnation          string `msgpack:"i"`
+	DataCentre           string `msgpack:"d"`
+	Address              string `msgpack:"a"`
+	Leaving              bool   `msgpack:"l"`
+	Version              uint64 `msgpack:"v"`
+	ConfigurationNext    int64  `msgpack:"cn"`
+	ConfigurationAgeMS   int64  `msgpack:"ca"`
+	ConfigurationCurrent bool   `msgpack:"cc"`
+	LedgerNext           int64  `msgpack:"ln"`
 }
 
 // Member is the last known state of a host.
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/godwitspread/godwitspread/internal/codec"
 )
 
 // Entry is one turn of a program in the history stream. Entries chain
@@ -27,7 +27,7 @@
 
 // EncodeEntries packs the history entries of one append.
 func EncodeEntries(entries []Entry) ([]byte, error) {
-	data, err := msgpack.Marshal(entries)
+	data, err := codec.Marshal(entries)
 	if err != nil {
 		return nil, fmt.Errorf("encode history entries: %w", err)
 	}
@@ -38,7 +38,7 @@
 // location.
 func DecodeEntry(data []byte, location Location) (Entry, error) {
 	var entries []Entry
-	if err := msgpack.Unmarshal(data, &entries); err != nil {
+	if err := codec.Unmarshal(data, &entries); err != nil {
 		return Entry{}, fmt.Errorf("decode history append at offset %d: %w", location.Offset, err)
 	}
 	if location.Index < 1 || location.Index > len(entries) {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -10,7 +10,7 @@
 	"fmt"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/godwitspread/godwitspread/internal/codec"
 )
 
 // SlotCount is the number of ownership slots in each data centre.
@@ -20,9 +20,8 @@
 // and the index of the entry inside that append. The zero Location means none,
 // because Index counts from one.
 type Location struct {
-	_msgpack struct{} `msgpack:",as_array"` // fields go by their order
-	Offset   int64    `msgpack:"offset"`
-	Index    int      `msgpack:"index"`
+	Offset int64 `msgpack:"o"`
+	Index  int   `msgpack:"i"`
 }
 
 // IsZero reports whether the location addresses nothing.
@@ -56,17 +55,15 @@
 
 // Limits bounds one program. Zero fields are unlimited.
 type Limits struct {
-	_msgpack struct{}      `msgpack:",as_array"` // fields go by their order
-	Turns    int           `msgpack:"turns,omitempty"`
-	Time     time.Duration `msgpack:"time,omitempty"`
-	Idle     time.Duration `msgpack:"idle,omitempty"`
+	Turns int           `msgpack:"turns,omitempty"`
+	Time  time.Duration `msgpack:"time,omitempty"`
+	Idle  time.Duration `msgpack:"idle,omitempty"`
 }
 
 // Claim takes a slot for one incarnation of a host.
 type Claim struct {
-	_msgpack    struct{} `msgpack:",as_array"` // fields go by their order
-	Host        string   `msgpack:"host"`
-	Incarnation string   `msgpack:"incarnation"`
+	Host        string `msgpack:"host"`
+	Incarnation string `msgpack:"incarnation"`
 	// Witnesses are the incarnations of hosts whose memory backs the claim
 	// while the log is away.
 	Witnesses []string `msgpack:"witnesses,omitempty"`
@@ -77,66 +74,59 @@
 // Open starts a program. Root names the program whose budget it shares, which
 // is the program itself unless it is a sub-agent.
 type Open struct {
-	_msgpack  struct{} `msgpack:",as_array"` // fields go by their order
-	Root      string   `msgpack:"root"`
-	Workspace string   `msgpack:"workspace"`
-	Budget    int64    `msgpack:"budget"`
-	Granted   int64    `msgpack:"granted"`
-	Limits    Limits   `msgpack:"limits"`
-	Implicit  bool     `msgpack:"implicit,omitempty"`
+	Root      string `msgpack:"root"`
+	Workspace string `msgpack:"workspace"`
+	Budget    int64  `msgpack:"budget"`
+	Granted   int64  `msgpack:"granted"`
+	Limits    Limits `msgpack:"limits"`
+	Implicit  bool   `msgpack:"implicit,omitempty"`
 }
 
 // Intent announces that a non-idempotent call is about to be dispatched.
 type Intent struct {
-	_msgpack struct{}      `msgpack:",as_array"` // fields go by their order
-	Call     string        `msgpack:"call"`
-	Attempt  string        `msgpack:"attempt"`
-	Number   int           `msgpack:"number"`
-	Service  string        `msgpack:"service"`
-	Input    string        `msgpack:"input"`
-	Timeout  time.Duration `msgpack:"timeout"`
-	Granted  int64         `msgpack:"granted"`
+	Call    string        `msgpack:"c"`
+	Attempt string        `msgpack:"a"`
+	Number  int           `msgpack:"n"`
+	Service string        `msgpack:"s"`
+	Input   string        `msgpack:"i"`
+	Timeout time.Duration `msgpack:"t"`
+	Granted int64         `msgpack:"g"`
 }
 
 // Outcome settles an intent. The first outcome in the ledger counts.
 type Outcome struct {
-	_msgpack struct{} `msgpack:",as_array"` // fields go by their order
-	Call     string   `msgpack:"call"`
-	Attempt  string   `msgpack:"attempt"`
-	Result   Result   `msgpack:"result"`
-	Head     Location `msgpack:"head"`
-	Spent    int64    `msgpack:"spent"`
+	Call    string   `msgpack:"c"`
+	Attempt string   `msgpack:"a"`
+	Result  Result   `msgpack:"r"`
+	Head    Location `msgpack:"h"`
+	Spent   int64    `msgpack:"s"`
 }
 
 // Turn commits an idempotent call at the end of a program's history.
 type Turn struct {
-	_msgpack struct{} `msgpack:",as_array"` // fields go by their order
-	Call     string   `msgpack:"call"`
-	Number   int      `msgpack:"number"`
-	Head     Location `msgpack:"head"`
-	Spent    int64    `msgpack:"spent"`
-	Granted  int64    `msgpack:"granted"`
+	Call    string   `msgpack:"c"`
+	Number  int      `msgpack:"n"`
+	Head    Location `msgpack:"h"`
+	Spent   int64    `msgpack:"s"`
+	Granted int64    `msgpack:"g"`
 	// Age is how long the program has been open, summed over its owners.
-	Age time.Duration `msgpack:"age"`
+	Age time.Duration `msgpack:"a"`
 }
 
 // Grant raises the part of a root program's budget that its owner may spend
 // without another record.
 type Grant struct {
-	_msgpack struct{} `msgpack:",as_array"` // fields go by their order
-	Granted  int64    `msgpack:"granted"`
+	Granted int64 `msgpack:"granted"`
 }
 
 // End closes a program for further calls.
 type End struct {
-	_msgpack struct{}  `msgpack:",as_array"` // fields go by their order
-	Reason   EndReason `msgpack:"reason"`
+	Reason EndReason `msgpack:"reason"`
 }
 
 // Carry repeats the whole state of a program before the log drops the records
 // that it was built from.
 type Carry struct {
-	_msgpack  struct{}      `msgpack:",as_array"` // fields go by their order
 	Open      Open          `msgpack:"open"`
 	Turns     int           `msgpack:"turns"`
 	Head      Location      `msgpack:"head"`
@@ -149,19 +139,18 @@
 
 // Record is one entry of a ledger stream. Exactly one of the pointers is set.
 type Record struct {
-	_msgpack struct{} `msgpack:",as_array"` // fields go by their order
-	ID       string   `msgpack:"id"`
-	Slot     int      `msgpack:"slot"`
-	Epoch    uint64   `msgpack:"epoch"`
-	Program  string   `msgpack:"program,omitempty"`
-	Claim    *Claim   `msgpack:"claim,omitempty"`
-	Open     *Open    `msgpack:"open,omitempty"`
-	Intent   *Intent  `msgpack:"intent,omitempty"`
-	Outcome  *Outcome `msgpack:"outcome,omitempty"`
-	Turn     *Turn    `msgpack:"turn,omitempty"`
-	Grant    *Grant   `msgpack:"grant,omitempty"`
-	End      *End     `msgpack:"end,omitempty"`
-	Carry    *Carry   `msgpack:"carry,omitempty"`
+	ID      string   `msgpack:"i"`
+	Slot    int      `msgpack:"s"`
+	Epoch   uint64   `msgpack:"e"`
+	Program string   `msgpack:"p"`
+	Claim   *Claim   `msgpack:"c"`
+	Open    *Open    `msgpack:"o"`
+	Intent  *Intent  `msgpack:"n"`
+	Outcome *Outcome `msgpack:"u"`
+	Turn    *Turn    `msgpack:"t"`
+	Grant   *Grant   `msgpack:"g"`
+	End     *End     `msgpack:"x"`
+	Carry   *Carry   `msgpack:"y"`
 }
 
 // Validate reports a record that no writer of this version produces.
@@ -192,7 +181,7 @@
 
 // EncodeBatch packs the records of one append.
 func EncodeBatch(records []Record) ([]byte, error) {
-	data, err := msgpack.Marshal(records)
+	data, err := codec.Marshal(records)
 	if err != nil {
 		return nil, fmt.Errorf("encode ledger batch: %w", err)
 	}
@@ -203,7 +192,7 @@
 // It returns the number of records dropped, and an error if the append as a
 // whole is not a batch.
 func DecodeBatch(data []byte) (records []Record, dropped int, err error) {
-	if err := msgpack.Unmarshal(data, &records); err != nil {
+	if err := codec.Unmarshal(data, &records); err != nil {
 		return nil, 0, fmt.Errorf("decode ledger batch: %w", err)
 	}
 	kept := records[:0]
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/godwitspread/godwitspread/internal/codec"
 
 	"github.com/godwitspread/godwitspread/internal/refusal"
 )
@@ -22,12 +22,12 @@
 type Request struct {
 	Method  string
 	Host    string
-	payload msgpack.RawMessage
+	payload codec.Raw
 }
 
 // Decode unpacks the argument of the call.
 func (request Request) Decode(argument any) error {
-	if err := msgpack.Unmarshal(request.payload, argument); err != nil {
+	if err := codec.Unmarshal(request.payload, argument); err != nil {
 		return fmt.Errorf("decode argument of %q from host %q: %w", request.Method, request.Host, err)
 	}
 	return nil
@@ -73,7 +73,7 @@
 	if err := connection.socket.SetDeadline(time.Now().Add(silenceLimit)); err != nil {
 		return err
 	}
-	payload, err := msgpack.Marshal(own)
+	payload, err := codec.Marshal(own)
 	if err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 	if greeting.Kind != kindHello {
 		return fmt.Errorf("first frame has kind %d, expected a greeting", greeting.Kind)
 	}
-	if err := msgpack.Unmarshal(greeting.Payload, &connection.remote); err != nil {
+	if err := codec.Unmarshal(greeting.Payload, &connection.remote); err != nil {
 		return fmt.Errorf("decode greeting: %w", err)
 	}
 	if !equalSecrets(connection.remote.Secret, own.Secret) {
@@ -261,7 +261,7 @@
 
 func (connection *connection) sender(ctx context.Context, stream uint64) func(any) error {
 	return func(value any) error {
-		payload, err := msgpack.Marshal(value)
+		payload, err := codec.Marshal(value)
 		if err != nil {
 			return fmt.Errorf("encode answer: %w", err)
 		}
@@ -271,7 +271,7 @@
 
 // call runs one call and hands each value of its answer to each.
 func (connection *connection) call(ctx context.Context, method string, argument any, each func(Value) error) error {
-	payload, err := msgpack.Marshal(argument)
+	payload, err := codec.Marshal(argument)
 	if err != nil {
 		return fmt.Errorf("encode argument of %q: %w", method, err)
 	}
@@ -325,11 +325,11 @@
 }
 
 // Value is one part of an answer.
-type Value struct{ payload msgpack.RawMessage }
+type Value struct{ payload codec.Raw }
 
 // Decode unpacks the value.
 func (value Value) Decode(target any) error {
-	if err := msgpack.Unmarshal(value.payload, target); err != nil {
+	if err := codec.Unmarshal(value.payload, target); err != nil {
 		return fmt.Errorf("decode answer: %w", err)
 	}
 	return nil
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -10,7 +10,7 @@
 	"io"
 	"sync"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/godwitspread/godwitspread/internal/codec"
 
 	"github.com/godwitspread/godwitspread/internal/refusal"
 )
@@ -30,13 +30,12 @@
 
 // frame is one message on a connection. Stream zero belongs to the connection.
 type frame struct {
-	_msgpack      struct{}           `msgpack:",as_array"` // fields go by their order
-	Stream        uint64             `msgpack:"stream"`
-	Kind          kind               `msgpack:"kind"`
-	Method        string             `msgpack:"method,omitempty"`
-	TimeoutMillis int64              `msgpack:"timeout_ms,omitempty"`
-	Payload       msgpack.RawMessage `msgpack:"payload,omitempty"`
-	Refusal       *refusal.Refusal   `msgpack:"refusal,omitempty"`
+	Stream        uint64           `msgpack:"s"`
+	Kind          kind             `msgpack:"k"`
+	Method        string           `msgpack:"m"`
+	TimeoutMillis int64            `msgpack:"t"`
+	Payload       codec.Raw        `msgpack:"p"`
+	Refusal       *refusal.Refusal `msgpack:"r"`
 }
 
 // hello opens a connection in both directions.
@@ -57,10 +56,7 @@
 	defer buffers.Put(buffer)
 	buffer.Reset()
 	buffer.Write(make([]byte, headerSize))
-	encoder := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(encoder)
-	encoder.Reset(buffer)
-	if err := encoder.Encode(&message); err != nil {
+	if err := codec.Encode(buffer, &message); err != nil {
 		return fmt.Errorf("encode frame: %w", err)
 	}
 	size := buffer.Len() - headerSize
@@ -92,7 +88,7 @@
 		return frame{}, fmt.Errorf("read frame of %d bytes: %w", size, err)
 	}
 	var message frame
-	if err := msgpack.Unmarshal(data, &message); err != nil {
+	if err := codec.Unmarshal(data, &message); err != nil {
 		return frame{}, fmt.Errorf("decode frame: %w", err)
 	}
 	return message, nil
