Encode frames without reflection

Cause: a relayed token cost 6.3 us at both ends of a hop, half of it reflection; 9.6 percent of a core at 7,600 tokens a second, target 5. Change: frames encode and decode themselves; later versions may add fields.

--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/godwitspread/godwitspread/internal/codec"
-
 	"github.com/godwitspread/godwitspread/internal/configuration"
 	"github.com/godwitspread/godwitspread/internal/host"
 	"github.com/godwitspread/godwitspread/internal/ledger"
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -6,12 +6,14 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
 
-	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/godwitspread/godwitspread/internal/codec"
 	"github.com/godwitspread/godwitspread/internal/refusal"
 )
 
@@ -30,12 +32,81 @@
 
 // frame is one message on a connection. Stream zero belongs to the connection.
 type frame struct {
-	Stream        uint64           `msgpack:"s"`
-	Kind          kind             `msgpack:"k"`
-	Method        string           `msgpack:"m"`
-	TimeoutMillis int64            `msgpack:"t"`
-	Payload       codec.Raw        `msgpack:"p"`
-	Refusal       *refusal.Refusal `msgpack:"r"`
+	Stream        uint64
+	Kind          kind
+	Method        string
+	TimeoutMillis int64
+	Payload       codec.Raw
+	Refusal       *refusal.Refusal
+}
+
+// frameFields is the number of fields of an encoded frame.
+const frameFields = 6
+
+// EncodeMsgpack implements msgpack.CustomEncoder. Frames carry every streamed
+// token, so they do without reflection.
+func (frame *frame) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	var refused []byte
+	if frame.Refusal != nil {
+		var err error
+		if refused, err = codec.Marshal(frame.Refusal); err != nil {
+			return err
+		}
+	}
+	return errors.Join(
+		encoder.EncodeArrayLen(frameFields),
+		encoder.EncodeUint(frame.Stream),
+		encoder.EncodeUint(uint64(frame.Kind)),
+		encoder.EncodeString(frame.Method),
+		encoder.EncodeInt(frame.TimeoutMillis),
+		encoder.EncodeBytes(frame.Payload),
+		encoder.EncodeBytes(refused),
+	)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder. It skips the fields of later
+// versions.
+func (frame *frame) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	count, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if count < frameFields {
+		return fmt.Errorf("frame has %d fields, expected %d", count, frameFields)
+	}
+	if frame.Stream, err = decoder.DecodeUint64(); err != nil {
+		return err
+	}
+	number, err := decoder.DecodeUint8()
+	if err != nil {
+		return err
+	}
+	frame.Kind = kind(number)
+	if frame.Method, err = decoder.DecodeString(); err != nil {
+		return err
+	}
+	if frame.TimeoutMillis, err = decoder.DecodeInt64(); err != nil {
+		return err
+	}
+	if frame.Payload, err = decoder.DecodeBytes(); err != nil {
+		return err
+	}
+	refused, err := decoder.DecodeBytes()
+	if err != nil {
+		return err
+	}
+	if len(refused) > 0 {
+		frame.Refusal = &refusal.Refusal{}
+		if err := codec.Unmarshal(refused, frame.Refusal); err != nil {
+			return err
+		}
+	}
+	for range count - frameFields {
+		if err := decoder.Skip(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // hello opens a connection in both directions.
