Forget the refusal of an earlier try when a call succeeds

Cause: a call that was refused by one target and answered by the next was still reported as target_failed.

--- a/internal/api/call.go
+++ b/internal/api/call.go
@@ -48,17 +48,8 @@
 
 // callProgram runs the next call of a program.
 func (server *Server) callProgram(ctx *gin.Context) {
-	body, refused := server.readBody(ctx)
-	if refused != nil {
-		server.fail(ctx, refused)
-		return
-	}
 	var request CallRequest
-	if refused := Decode(body, &request); refused != nil {
-		server.fail(ctx, refused)
-		return
-	}
-	if refused := request.Check(); refused != nil {
+	if refused := server.readRequest(ctx, &request, false); refused != nil {
 		server.fail(ctx, refused)
 		return
 	}
--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -50,6 +50,24 @@
 	return nil
 }
 
+// checked is a request body that can check its values.
+type checked interface{ Check() *refusal.Refusal }
+
+// readRequest reads, decodes and checks a request body. An empty body leaves
+// the request as it is if that is allowed.
+func (server *Server) readRequest(ctx *gin.Context, request checked, mayBeEmpty bool) *refusal.Refusal {
+	body, refused := server.readBody(ctx)
+	if refused != nil {
+		return refused
+	}
+	if len(body) > 0 || !mayBeEmpty {
+		if refused := Decode(body, request); refused != nil {
+			return refused
+		}
+	}
+	return request.Check()
+}
+
 // secretIn reports whether a text repeats the caller's key or any other.
 func secretIn(text string, session *session) bool {
 	if session != nil && session.secret != "" && strings.Contains(text, session.secret) {
--- a/internal/api/program.go
+++ b/internal/api/program.go
@@ -15,19 +15,8 @@
 // openProgram starts a program in the data centre of this host, a sub-agent in
 // the slot of its parent.
 func (server *Server) openProgram(ctx *gin.Context) {
-	body, refused := server.readBody(ctx)
-	if refused != nil {
-		server.fail(ctx, refused)
-		return
-	}
 	var request OpenRequest
-	if len(body) > 0 {
-		if refused := Decode(body, &request); refused != nil {
-			server.fail(ctx, refused)
-			return
-		}
-	}
-	if refused := request.Check(); refused != nil {
+	if refused := server.readRequest(ctx, &request, true); refused != nil {
 		server.fail(ctx, refused)
 		return
 	}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -184,6 +184,21 @@
 	}
 }
 
+// withLog runs a command that reads the stream and may publish to it.
+func (client *client) withLog(run func(ctx context.Context, log platform.Log, folded *folded) error) error {
+	log, err := client.log()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := client.context()
+	defer cancel()
+	folded, err := client.fold(ctx, log)
+	if err != nil {
+		return err
+	}
+	return run(ctx, log, folded)
+}
+
 // publish appends a record and reads back what became of it. An append whose
 // answer is lost is repeated with the same identifier.
 func (client *client) publish(ctx context.Context, log platform.Log, record configuration.Record) (*folded, configuration.Verdict, error) {
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -14,6 +14,7 @@
 
 	"github.com/godwitspread/godwitspread/internal/configuration"
 	"github.com/godwitspread/godwitspread/internal/daemon"
+	"github.com/godwitspread/godwitspread/internal/platform"
 )
 
 // fileArgument is the path of a configuration text.
@@ -57,21 +58,17 @@
 
 // Execute implements flags.Commander.
 func (command *publishCommand) Execute([]string) error {
-	client := command.client
-	text, err := client.read(command.Args.File)
-	if err != nil {
-		return err
-	}
-	log, err := client.log()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := client.context()
-	defer cancel()
-	before, err := client.fold(ctx, log)
+	text, err := command.client.read(command.Args.File)
 	if err != nil {
 		return err
 	}
+	return command.client.withLog(func(ctx context.Context, log platform.Log, before *folded) error {
+		return command.publish(ctx, log, before, text)
+	})
+}
+
+func (command *publishCommand) publish(ctx context.Context, log platform.Log, before *folded, text []byte) error {
+	client := command.client
 	base := before.state.Version()
 	if command.Base >= 0 {
 		base = uint64(command.Base)
@@ -161,17 +158,7 @@
 
 // withState reads the configuration stream for a command that only looks.
 func (client *client) withState(look func(folded *folded) error) error {
-	log, err := client.log()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := client.context()
-	defer cancel()
-	folded, err := client.fold(ctx, log)
-	if err != nil {
-		return err
-	}
-	return look(folded)
+	return client.withLog(func(_ context.Context, _ platform.Log, folded *folded) error { return look(folded) })
 }
 
 type historyCommand struct{ client *client }
--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -1,11 +1,13 @@
 package cli
 
 import (
+	"context"
 	"crypto/rand"
 	"fmt"
 
 	"github.com/godwitspread/godwitspread/internal/configuration"
 	"github.com/godwitspread/godwitspread/internal/key"
+	"github.com/godwitspread/godwitspread/internal/platform"
 )
 
 type giveCommand struct {
@@ -17,17 +19,11 @@
 
 // Execute implements flags.Commander.
 func (command *giveCommand) Execute([]string) error {
+	return command.client.withLog(command.give)
+}
+
+func (command *giveCommand) give(ctx context.Context, log platform.Log, folded *folded) error {
 	client := command.client
-	log, err := client.log()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := client.context()
-	defer cancel()
-	folded, err := client.fold(ctx, log)
-	if err != nil {
-		return err
-	}
 	if _, ok := folded.state.Text().Workspace(command.Args.Workspace); !ok {
 		return fmt.Errorf("workspace %q does not exist in version %d", command.Args.Workspace, folded.state.Version())
 	}
@@ -55,27 +51,20 @@
 
 // Execute implements flags.Commander.
 func (command *withdrawCommand) Execute([]string) error {
-	client := command.client
-	log, err := client.log()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := client.context()
-	defer cancel()
-	folded, err := client.fold(ctx, log)
-	if err != nil {
-		return err
-	}
+	return command.client.withLog(command.withdraw)
+}
+
+func (command *withdrawCommand) withdraw(ctx context.Context, log platform.Log, folded *folded) error {
 	if !folded.state.Ring().Valid(command.Args.Key) {
 		return fmt.Errorf("key %q is not valid, there is nothing to withdraw", command.Args.Key)
 	}
 	record := configuration.Record{ID: rand.Text(), Withdraw: &configuration.Withdraw{
-		Key: command.Args.Key, Author: client.options.Author,
+		Key: command.Args.Key, Author: command.client.options.Author,
 	}}
-	if _, _, err := client.publish(ctx, log, record); err != nil {
+	if _, _, err := command.client.publish(ctx, log, record); err != nil {
 		return err
 	}
-	fmt.Fprintf(client.stdout, "key %s is withdrawn\n", command.Args.Key)
+	fmt.Fprintf(command.client.stdout, "key %s is withdrawn\n", command.Args.Key)
 	return nil
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -34,7 +34,7 @@
 		if err := client.fetch(ctx, address, "/status", &status); err != nil {
 			client.code = ExitFailed
 			lines = append(lines, statusLine{Daemon: address, Error: err.Error()})
-			rows = append(rows, []string{address, "-", "no answer", "-", "-", "-", "-", "-"})
+			rows = append(rows, []string{address, "-", "no answer", "-", "-", "-", "-", "-", "-"})
 			continue
 		}
 		lines = append(lines, statusLine{Daemon: address, Status: &status})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -113,6 +113,7 @@
 		result := dispatcher.try(ctx, run, try, each)
 		answered.Output, answered.Status, answered.Tokens = run.text, result.status, int64(run.tokens)
 		if result.failure == nil {
+			answered.Refusal = nil // of an earlier try
 			return answered
 		}
 		answered.Refusal = refusalOf(result.failure)
--- /dev/null
+++ b/internal/owner/effect.go
@@ -0,0 +1,140 @@
+package owner
+
+import (
+	"context"
+
+	"github.com/godwitspread/godwitspread/internal/ledger"
+	"github.com/godwitspread/godwitspread/internal/platform"
+	"github.com/godwitspread/godwitspread/internal/program"
+)
+
+// step runs the machine and carries out its effects. It belongs to the loop.
+func (owner *Owner) step(event program.Event) {
+	for _, effect := range owner.machine.Step(owner.clock.Now(), event) {
+		owner.perform(effect)
+	}
+}
+
+func (owner *Owner) perform(effect program.Effect) {
+	switch effect := effect.(type) {
+	case program.Append:
+		for _, record := range effect.Records {
+			if !owner.ledger.write(record) {
+				owner.metrics.Count("ledger_ring_full")
+			}
+		}
+	case program.Store:
+		if !owner.history.write(effect.Entry) {
+			owner.metrics.Count("history_ring_full")
+		}
+	case program.Load:
+		go owner.load(effect)
+	case program.Replicate:
+		go owner.replicate(effect)
+	case program.Gather:
+		go owner.gather(effect)
+	case program.Dispatch:
+		owner.dispatch(effect)
+	case program.Attach:
+		owner.attach(effect)
+	case program.Cancel:
+		if call, ok := owner.running[callKey{effect.Program, effect.Call}]; ok {
+			call.cancel()
+		}
+	case program.Release:
+		go owner.runner.Release(owner.ctx, effect.Program)
+	case program.Reply:
+		owner.reply(effect)
+	case program.Counted:
+		owner.metrics.Count(effect.Name)
+	}
+}
+
+// post hands an event to the machine from another goroutine.
+func (owner *Owner) post(event program.Event) {
+	owner.loop.Post(func() { owner.step(event) })
+}
+
+func (owner *Owner) stored(entries []ledger.Entry, offset int64) {
+	for index, entry := range entries {
+		owner.post(program.HistoryStored{
+			Program: entry.Program, Call: entry.Call, Number: entry.Number,
+			Location: ledger.Location{Offset: offset, Index: index + 1},
+		})
+	}
+}
+
+func (owner *Owner) load(effect program.Load) {
+	ctx, cancel := context.WithTimeout(owner.ctx, loadTimeout)
+	defer cancel()
+	entries, err := loadHistory(ctx, owner.log, platform.HistoryStream(owner.settings.DataCentre), effect.Head)
+	if err != nil {
+		owner.metrics.Count("history_load_failed")
+	}
+	owner.post(program.HistoryLoaded{Program: effect.Program, Head: effect.Head, Entries: entries, Err: err})
+}
+
+func (owner *Owner) replicate(effect program.Replicate) {
+	ctx, cancel := context.WithTimeout(owner.ctx, replicateWait)
+	defer cancel()
+	if owner.peers.Replicate(ctx, ReplicateRequest{Slot: effect.Slot, Epoch: effect.Epoch, Entry: effect.Entry}) {
+		owner.post(program.Replicated{Program: effect.Entry.Program, Number: effect.Entry.Number})
+		return
+	}
+	owner.metrics.Count("replicate_failed")
+}
+
+func (owner *Owner) gather(effect program.Gather) {
+	ctx, cancel := context.WithTimeout(owner.ctx, gatherTimeout)
+	defer cancel()
+	request := GatherRequest{Slot: effect.Slot, Epoch: effect.Epoch}
+	answers := owner.peers.Gather(ctx, request)
+	owner.loop.Post(func() {
+		gathered := program.Gathered{Slot: effect.Slot, Epoch: effect.Epoch}
+		answers = append(answers, owner.surrender(request))
+		for _, answer := range answers {
+			gathered.Entries = append(gathered.Entries, answer.Entries...)
+			gathered.Fenced = append(gathered.Fenced, answer.Incarnation)
+		}
+		owner.step(gathered)
+		owner.publish()
+	})
+}
+
+// dispatch starts a call and keeps its text for those who follow it.
+func (owner *Owner) dispatch(effect program.Dispatch) {
+	ctx, cancel := context.WithCancel(owner.ctx)
+	key := callKey{effect.Program, effect.Call}
+	call := &runningCall{cancel: cancel, stream: newTextStream(effect.Partial)}
+	owner.running[key] = call
+	go func() {
+		defer cancel()
+		answered := owner.runner.Run(ctx, effect, call.stream.write)
+		owner.loop.Post(func() {
+			if owner.running[key] == call {
+				delete(owner.running, key)
+			}
+			owner.step(answered)
+		})
+	}()
+}
+
+func (owner *Owner) attach(effect program.Attach) {
+	waiter, waiting := owner.waiters[effect.Token]
+	call, running := owner.running[callKey{effect.Program, effect.Call}]
+	if waiting && running {
+		select {
+		case waiter.stream <- call.stream:
+		default:
+		}
+	}
+}
+
+func (owner *Owner) reply(effect program.Reply) {
+	waiter, ok := owner.waiters[effect.Token]
+	if !ok {
+		return
+	}
+	delete(owner.waiters, effect.Token)
+	waiter.reply <- effect
+}
