Serve services of other data centres and spread quarantines

Change: permits are forwarded through a relay and settled the same way; banned digests go to the neighbours and, by relays, to the other data centres.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -54,6 +54,7 @@
   - {name: filing, kind: plain, cost: 10, timeout: 20s, targets: [{data_centre: a, address: "%[3]s"}, {data_centre: b, address: "%[4]s"}]}
   - {name: records, kind: plain, repeatable: true, targets: [{data_centre: a, address: "%[5]s"}, {data_centre: b, address: "%[6]s"}]}
   - {name: notices, kind: plain, repeatable: true, open: true, targets: [{data_centre: a, address: "%[5]s"}, {data_centre: b, address: "%[6]s"}]}
+  - {name: signature, kind: plain, timeout: 10s, targets: [{data_centre: a, address: "%[3]s"}]}
 workspaces:
   - {name: council, rate: 200, burst: 400}
   - {name: temple, rate: 200, burst: 400}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -100,10 +100,10 @@
 
 // newNetwork returns the network with the parts that do not need it; the
 // others are added when they exist.
-func newNetwork(own host.Heartbeat, settings Settings, metrics *metric.Metrics) (*network, *handlers, *peer.Transport) {
-	handlers := &handlers{}
+func newNetwork(own host.Heartbeat, settings Settings, metrics *metric.Metrics, follower *configuration.Follower) (*network, *handlers, *peer.Transport) {
+	handlers := &handlers{follower: follower}
 	transport := peer.NewTransport(own.Name, own.Incarnation, settings.PeerSecret, handlers.handle)
-	network := &network{own: own, metrics: metrics, transport: transport}
+	network := &network{own: own, metrics: metrics, transport: transport, follower: follower, permits: newPermits()}
 	handlers.network = network
 	return network, handlers, transport
 }
@@ -117,7 +117,8 @@
 }
 
 func newHolder(clock clockwork.Clock, metrics *metric.Metrics, settings Settings, network *network) *dispatch.Holder {
-	network.holder = dispatch.NewHolder(clock, metrics, settings.DataCentre, seed())
+	banned := func(digests []string) { go network.spreadBan(dispatch.BanMessage{Digests: digests}) }
+	network.holder = dispatch.NewHolder(clock, metrics, settings.DataCentre, seed(), banned)
 	return network.holder
 }
 
@@ -197,7 +198,6 @@
 
 func newRouter(own host.Heartbeat, clock clockwork.Clock, metrics *metric.Metrics, beater *host.Beater, owner *owner.Owner,
 	network *network, handlers *handlers, follower *configuration.Follower) *entry.Router {
-	handlers.follower = follower
 	handlers.router = entry.NewRouter(clock, metrics, beater, owner, network.transport, follower, own, seed())
 	return handlers.router
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -17,7 +17,6 @@
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/platform"
 	"github.com/godwitspread/godwitspread/internal/refusal"
-	"github.com/godwitspread/godwitspread/internal/target"
 )
 
 // Methods of the daemon itself.
@@ -74,6 +73,8 @@
 	holder    *dispatch.Holder
 	owner     *owner.Owner
 	limiter   *admission.Limiter
+	follower  *configuration.Follower
+	permits   *permits
 }
 
 // neighbours returns the other live hosts of the data centre, in order of rank
@@ -165,94 +166,6 @@
 	return collected
 }
 
-// Acquire implements dispatch.Queues.
-func (network *network) Acquire(ctx context.Context, request dispatch.PermitRequest) (dispatch.Permit, func(target.Report), error) {
-	address, local := network.queueHolder(request.Service)
-	if local {
-		permit, err := network.holder.Acquire(ctx, request)
-		return permit, func(report target.Report) { network.holder.Settle(request.Service, report) }, err
-	}
-	return network.acquireFrom(ctx, address, request)
-}
-
-// queueHolder returns the host that holds the queue of a service.
-func (network *network) queueHolder(service string) (address string, local bool) {
-	var live []host.Heartbeat
-	network.beater.View(func(membership *host.Membership, now time.Time) { live = membership.Live(now, network.own.DataCentre) })
-	names := make([]string, 0, len(live))
-	addresses := make(map[string]string, len(live))
-	for _, heartbeat := range live {
-		names = append(names, heartbeat.Name)
-		addresses[heartbeat.Name] = heartbeat.Address
-	}
-	if len(names) == 0 {
-		return "", true
-	}
-	first := host.RankKey("queue", service, names)[0]
-	return addresses[first], first == network.own.Name
-}
-
-// acquireFrom asks another host for a permit. The call to that host stays open
-// while the permit is out: if it breaks, the holder takes the permit back.
-func (network *network) acquireFrom(ctx context.Context, address string, request dispatch.PermitRequest) (dispatch.Permit, func(target.Report), error) {
-	hold, release := context.WithCancel(context.Background())
-	permits := make(chan dispatch.Permit, 1)
-	failed := make(chan error, 1)
-	go func() {
-		failed <- network.transport.Call(hold, address, dispatch.MethodPermit, request, func(value peer.Value) error {
-			var permit dispatch.Permit
-			if err := value.Decode(&permit); err != nil {
-				return err
-			}
-			select {
-			case permits <- permit:
-			default:
-			}
-			return nil
-		})
-	}()
-	select {
-	case permit := <-permits:
-		return permit, func(report target.Report) { network.settle(address, request.Service, report, release) }, nil
-	case err := <-failed:
-		release()
-		if err == nil {
-			err = peer.ErrConnection
-		}
-		return dispatch.Permit{}, nil, err
-	case <-ctx.Done():
-		release()
-		return dispatch.Permit{}, nil, ctx.Err()
-	}
-}
-
-// settle reports on a permit and closes the call that held it.
-func (network *network) settle(address, service string, report target.Report, release context.CancelFunc) {
-	go func() {
-		defer release()
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-		defer cancel()
-		var done bool
-		if err := network.transport.Ask(ctx, address, dispatch.MethodSettle, dispatch.SettleRequest{Service: service, Report: report}, &done); err != nil {
-			network.metrics.Count("settle_failed")
-		}
-	}()
-}
-
-const settleTimeout = 2 * time.Second
-
-// Release implements dispatch.Queues.
-func (network *network) Release(ctx context.Context, program string) []string {
-	addresses := network.holder.Release(program)
-	for _, neighbour := range network.neighbours("release", program) {
-		var more []string
-		if err := network.transport.Ask(ctx, neighbour.Address, dispatch.MethodRelease, dispatch.ReleaseRequest{Program: program}, &more); err == nil {
-			addresses = append(addresses, more...)
-		}
-	}
-	return addresses
-}
-
 // Ask implements admission.Peers.
 func (network *network) Ask(ctx context.Context, dataCentre string, slot int, message admission.AskMessage) (admission.AskAnswer, error) {
 	address, local, err := network.slotOwner(dataCentre, slot)
@@ -351,10 +264,9 @@
 	case dispatch.MethodPermit:
 		return handlers.permit(ctx, request, send)
 	case dispatch.MethodSettle:
-		return answer(request, send, func(message dispatch.SettleRequest) (bool, error) {
-			handlers.network.holder.Settle(message.Service, message.Report)
-			return true, nil
-		})
+		return answer(request, send, handlers.settled)
+	case dispatch.MethodBan:
+		return answer(request, send, handlers.ban)
 	case dispatch.MethodRelease:
 		return answer(request, send, func(message dispatch.ReleaseRequest) ([]string, error) {
 			return handlers.network.holder.Release(message.Program), nil
@@ -404,26 +316,6 @@
 	return answer, err
 }
 
-// permit grants a permit and takes it back if the asking host is lost.
-func (handlers *handlers) permit(ctx context.Context, request peer.Request, send func(any) error) error {
-	var message dispatch.PermitRequest
-	if err := request.Decode(&message); err != nil {
-		return malformed(err)
-	}
-	permit, err := handlers.network.holder.Acquire(ctx, message)
-	if err != nil {
-		return err
-	}
-	if err := send(permit); err != nil || permit.Refusal != nil {
-		handlers.network.holder.Settle(message.Service, target.Report{Request: permit.ID, Failure: target.FailureCancel})
-		return err
-	}
-	<-ctx.Done()
-	// Settling a permit that was settled already does nothing.
-	handlers.network.holder.Settle(message.Service, target.Report{Request: permit.ID, Failure: target.FailureCancel})
-	return nil
-}
-
 // answer decodes the argument of a method with one answer.
 func answer[In, Out any](request peer.Request, send func(any) error, serve func(In) (Out, error)) error {
 	var message In
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -26,6 +26,10 @@
 	waiters    map[uint64]chan target.Decision
 	random     *rand.Rand
 	next       uint64
+	// spread tells the other hosts about requests that crash targets; banned
+	// are those known here, with the time of their ban.
+	spread func(digests []string)
+	banned map[string]time.Time
 }
 
 const (
@@ -34,11 +38,12 @@
 )
 
 // NewHolder returns a holder. The seed is for the jitter of its breakers.
-func NewHolder(clock clockwork.Clock, metrics *metric.Metrics, dataCentre string, seed uint64) *Holder {
+func NewHolder(clock clockwork.Clock, metrics *metric.Metrics, dataCentre string, seed uint64, spread func(digests []string)) *Holder {
 	return &Holder{
 		clock: clock, metrics: metrics, dataCentre: dataCentre, loop: duty.NewLoop(holderRing),
 		text: &configuration.Text{}, pools: make(map[string]*target.Pool),
 		waiters: make(map[uint64]chan target.Decision), random: rand.New(rand.NewPCG(seed, 1)),
+		spread: spread, banned: make(map[string]time.Time),
 	}
 }
 
@@ -51,6 +56,48 @@
 	for _, pool := range holder.pools {
 		holder.decide(pool.Tick(holder.clock.Now()))
 	}
+	holder.spreadBans()
+}
+
+// spreadBans passes on what the own queues have found out.
+func (holder *Holder) spreadBans() {
+	now := holder.clock.Now()
+	for digest, since := range holder.banned {
+		if now.Sub(since) > target.QuarantineTime {
+			delete(holder.banned, digest)
+		}
+	}
+	var fresh []string
+	for _, pool := range holder.pools {
+		for _, digest := range pool.Quarantined() {
+			if _, known := holder.banned[digest]; !known {
+				holder.banned[digest] = now
+				fresh = append(fresh, digest)
+			}
+		}
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	holder.metrics.Count("request_quarantined")
+	for _, pool := range holder.pools {
+		for _, digest := range fresh {
+			pool.Quarantine(now, digest)
+		}
+	}
+	holder.spread(fresh)
+}
+
+// Ban refuses requests that have crashed targets of other queues.
+func (holder *Holder) Ban(digests []string) {
+	holder.loop.Post(func() {
+		for _, digest := range digests {
+			holder.banned[digest] = holder.clock.Now()
+			for _, pool := range holder.pools {
+				pool.Quarantine(holder.clock.Now(), digest)
+			}
+		}
+	})
 }
 
 // SetText applies a new configuration.
@@ -90,6 +137,9 @@
 	settings := target.DefaultSettings(service.Window, holder.random.Float64)
 	pool := target.NewPool(settings, target.NewFairOrder(), target.PrefixPlacement{})
 	pool.SetTargets(holder.clock.Now(), holder.addresses(service), service.Window)
+	for digest := range holder.banned {
+		pool.Quarantine(holder.clock.Now(), digest)
+	}
 	holder.pools[name] = pool
 	return pool, nil
 }
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -15,6 +15,7 @@
 	MethodPermit  = "permit"
 	MethodSettle  = "settle"
 	MethodRelease = "release"
+	MethodBan     = "ban"
 )
 
 // PermitRequest asks the holder of a service's queue for a target.
@@ -28,6 +29,9 @@
 	TimeoutMillis int64  `msgpack:"timeout_ms"`
 	Digest        string `msgpack:"digest"`
 	Avoid         string `msgpack:"avoid"`
+	// Forwarded requests come from a data centre without targets of the
+	// service and are answered by this one.
+	Forwarded bool `msgpack:"forwarded"`
 }
 
 // Permit allows one call on a target until it is settled.
@@ -49,6 +53,13 @@
 	Program string `msgpack:"program"`
 }
 
+// BanMessage spreads the digests of requests that crash targets. Relays pass it
+// on inside their data centre.
+type BanMessage struct {
+	Digests []string `msgpack:"digests"`
+	Relayed bool     `msgpack:"relayed"`
+}
+
 // failure is why one exchange with a target gave no whole answer.
 type failure struct {
 	kind target.Failure
--- a/internal/host/beater.go
+++ b/internal/host/beater.go
@@ -119,6 +119,12 @@
 	if membership.relaySkip = !membership.relaySkip; membership.relaySkip {
 		return targets
 	}
+	return append(targets, membership.Relays()...)
+}
+
+// Relays returns the hosts of other data centres that this host talks to.
+func (membership *Membership) Relays() []Heartbeat {
+	var targets []Heartbeat
 	others := make(map[string][]string)
 	for name, member := range membership.members {
 		if place := member.heartbeat.DataCentre; place != membership.own.DataCentre && member.heartbeat.Address != "" {
--- a/internal/target/quarantine.go
+++ b/internal/target/quarantine.go
@@ -14,9 +14,11 @@
 
 const (
 	quarantineCrashes = 2 // crashes after which a request is refused
-	quarantineTime    = 15 * time.Minute
 )
 
+// QuarantineTime is how long a request that crashes targets is refused.
+const QuarantineTime = 15 * time.Minute
+
 func newQuarantine() *quarantine {
 	return &quarantine{crashes: make(map[string]*crash)}
 }
@@ -76,7 +78,7 @@
 			quarantine.crashes[request.digest()] = entry
 		}
 		entry.count++
-		entry.until = now.Add(quarantineTime)
+		entry.until = now.Add(QuarantineTime)
 	}
 }
 
@@ -89,7 +91,7 @@
 
 // ban puts a digest under quarantine that another pool has found out.
 func (quarantine *quarantine) ban(now time.Time, digest string) {
-	quarantine.crashes[digest] = &crash{count: quarantineCrashes, until: now.Add(quarantineTime)}
+	quarantine.crashes[digest] = &crash{count: quarantineCrashes, until: now.Add(QuarantineTime)}
 }
 
 // list returns the digests under quarantine.
