Order models from engines with fencing numbers

Cause: the text could not say which model engines load, and nothing gave orders. Change: the owner of a service's slot orders models one engine after the other, numbered by its epoch and the text's version; without a proof of ownership it orders nothing, and a successor waits out its predecessor's lease.

--- a/internal/api/session.go
+++ b/internal/api/session.go
@@ -49,7 +49,7 @@
 }
 
 // check ends the requests whose key is not valid any more.
-func (sessions *sessions) check(_ *configuration.Text, ring *key.Ring) {
+func (sessions *sessions) check(_ *configuration.Text, _ uint64, ring *key.Ring) {
 	sessions.mutex.Lock()
 	defer sessions.mutex.Unlock()
 	for session := range sessions.active {
@@ -90,7 +90,7 @@
 	server.sessions.add(session)
 	defer server.sessions.remove(session)
 	// The key may have been withdrawn before the session was known.
-	server.follower.View(func(state *configuration.State) { server.sessions.check(state.Text(), state.Ring()) })
+	server.follower.View(func(state *configuration.State) { server.sessions.check(state.Text(), state.Version(), state.Ring()) })
 	if err := server.admitter.Admit(cancelled, session.workspace.Name); err != nil {
 		server.fail(ctx, err)
 		return
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -73,6 +73,9 @@
 		if service.Kind == KindEngine && !service.Repeatable {
 			checker.report(path+".repeatable", "an engine's calls are repeatable, set it to true")
 		}
+		if service.Model != "" && service.Kind != KindEngine {
+			checker.report(path+".model", "only engines load models")
+		}
 		if service.Open && service.Kind == KindEngine {
 			checker.report(path+".open", "an engine's calls belong to programs, whose workspace needs a key")
 		}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -24,7 +24,7 @@
 	mutex    sync.Mutex
 	state    *State
 	relayed  time.Time // clock time at which a peer's view was fresh
-	watchers []func(text *Text, ring *key.Ring)
+	watchers []func(text *Text, version uint64, ring *key.Ring)
 	pulling  atomic.Bool
 }
 
@@ -41,7 +41,7 @@
 
 // Watch registers a function that is called after each change. It must be
 // called before Run.
-func (follower *Follower) Watch(watcher func(text *Text, ring *key.Ring)) {
+func (follower *Follower) Watch(watcher func(text *Text, version uint64, ring *key.Ring)) {
 	follower.watchers = append(follower.watchers, watcher)
 }
 
@@ -75,7 +75,7 @@
 
 func (follower *Follower) notify() {
 	for _, watcher := range follower.watchers {
-		watcher(follower.state.Text(), follower.state.Ring())
+		watcher(follower.state.Text(), follower.state.Version(), follower.state.Ring())
 	}
 }
 
--- a/internal/configuration/text.go
+++ b/internal/configuration/text.go
@@ -32,6 +32,9 @@
 	Open bool `yaml:"open"`
 	// Fencing tells that the targets refuse orders with an old number.
 	Fencing bool `yaml:"fencing"`
+	// Model is what the engines should have loaded, with its version; empty
+	// leaves them as they are.
+	Model string `yaml:"model"`
 	// Cost is charged to the program's budget for each call of a plain service, in tokens.
 	Cost int64 `yaml:"cost"`
 	// Window is the number of calls that a target is given at one time.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,7 @@
 	holder     *dispatch.Holder
 	dispatcher *dispatch.Dispatcher
 	limiter    *admission.Limiter
+	orderer    *dispatch.Orderer
 	router     *entry.Router
 	server     *api.Server
 	callers    *http.Server
@@ -71,6 +72,7 @@
 			newOwner,
 			newBeater,
 			newLimiter,
+			newOrderer,
 			newRouter,
 			newServer,
 			newDaemon,
@@ -196,6 +198,10 @@
 	return network.limiter
 }
 
+func newOrderer(settings Settings, own host.Heartbeat, clock clockwork.Clock, metrics *metric.Metrics, owner *owner.Owner) *dispatch.Orderer {
+	return dispatch.NewOrderer(clock, metrics, settings.DataCentre, holding{own: own, owner: owner})
+}
+
 func newRouter(own host.Heartbeat, clock clockwork.Clock, metrics *metric.Metrics, beater *host.Beater, owner *owner.Owner,
 	network *network, handlers *handlers, follower *configuration.Follower) *entry.Router {
 	handlers.router = entry.NewRouter(clock, metrics, beater, owner, network.transport, follower, own, seed())
@@ -212,11 +218,11 @@
 func newDaemon(settings Settings, own host.Heartbeat, clock clockwork.Clock, metrics *metric.Metrics, logger log.Interface,
 	follower *configuration.Follower, transport *peer.Transport, beater *host.Beater, owner *owner.Owner,
 	holder *dispatch.Holder, dispatcher *dispatch.Dispatcher, limiter *admission.Limiter,
-	router *entry.Router, server *api.Server) *Daemon {
+	orderer *dispatch.Orderer, router *entry.Router, server *api.Server) *Daemon {
 	daemon := &Daemon{
 		settings: settings, own: own, clock: clock, metrics: metrics, logger: logger, follower: follower,
 		transport: transport, beater: beater, owner: owner, holder: holder,
-		dispatcher: dispatcher, limiter: limiter, router: router, server: server,
+		dispatcher: dispatcher, limiter: limiter, orderer: orderer, router: router, server: server,
 	}
 	follower.Watch(daemon.configured)
 	daemon.callers = &http.Server{
@@ -233,10 +239,11 @@
 const maxHeaders = 32 << 10
 
 // configured hands a new configuration to the parts that use it.
-func (daemon *Daemon) configured(text *configuration.Text, _ *key.Ring) {
+func (daemon *Daemon) configured(text *configuration.Text, version uint64, _ *key.Ring) {
 	daemon.holder.SetText(text)
 	daemon.dispatcher.SetText(text)
 	daemon.limiter.SetText(text)
+	daemon.orderer.SetText(text, version)
 	daemon.owner.SetWorkspaces(workspaceNames(text))
 }
 
@@ -261,6 +268,7 @@
 	go daemon.follower.Refresh(daemon.ctx, daemon.settings.LogRetention, daemon.own.Incarnation)
 	go daemon.beater.Run(daemon.ctx)
 	go daemon.claim(daemon.ctx)
+	go daemon.orderer.Run(daemon.ctx)
 	for _, server := range []*http.Server{daemon.callers, daemon.operators} {
 		listener, err := net.Listen("tcp", server.Addr)
 		if err != nil {
