--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -59,7 +59,7 @@
 	checker := &checker{file: file}
 	checker.fields(file.Docs[0].Body, reflect.TypeFor[Text](), "$")
 	text := &Text{}
-	if err := yaml.NodeToValue(file.Docs[0].Body, text); err != nil {
+	if err := decode(file.Docs[0].Body, text); err != nil {
 		checker.problems = append(checker.problems, syntaxProblem(err))
 		return nil, checker.sorted()
 	}
@@ -71,6 +71,17 @@
 	return text, nil
 }
 
+// decode fills the model from the text. The YAML library panics on some
+// malformed texts; that is one more fault of the text.
+func decode(node ast.Node, text *Text) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("text cannot be read: %v", cause)
+		}
+	}()
+	return yaml.NodeToValue(node, text)
+}
+
 // syntaxProblem keeps the position of an error of the YAML library.
 func syntaxProblem(err error) Problem {
 	var positioned yaml.Error
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -159,7 +159,7 @@
 		return frame{}, fmt.Errorf("read frame of %d bytes: %w", size, err)
 	}
 	var message frame
-	if err := codec.Unmarshal(data, &message); err != nil {
+	if err := msgpack.Unmarshal(data, &message); err != nil {
 		return frame{}, fmt.Errorf("decode frame: %w", err)
 	}
 	return message, nil
