Merge the appends of large data centres

Cause: each host wrote its own batches; at 370 hosts that would be 14,000 appends a second against several hundred. Change: from 8 live hosts in a data centre on, one of them joins the lists of all for a stream and answers each with its position. A host whose merger does not answer appends itself; lists that their host has given up are left out.

--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -31,6 +31,8 @@
 	ticksPerSecond   = 20.0
 	claimsPerSecond  = 5.0 // choices of slots
 	appendsPerSecond = 25.0
+	mergesPerSecond  = 10.0
+	mergeHosts       = 8
 	relays           = 2.0
 	secondsPerDay    = 86_400.0
 )
@@ -68,7 +70,7 @@
 			sum.processor += line.processor
 		}
 		fmt.Fprintf(&block, "| **sum** (limits 128, 30, 1.1) | %.2f | %.2f | %.3f |\n", sum.memory/1e6, sum.bytes/1e3, sum.processor*100)
-		fmt.Fprintf(&block, "\nAppends of the fleet, %s: at most %.0f a second, each daemon on its own (limit: several hundred).\n", size.name, size.appends())
+		fmt.Fprintf(&block, "\nAppends of the fleet, %s: at most %.0f a second (limit: several hundred).\n", size.name, size.appends())
 		token := byName["relay: processor of a token, both ends of a hop"].last()
 		fmt.Fprintf(&block, "Relayed tokens, %s: %.0f a second on each daemon, %.2f%% of a core with two hops.\n",
 			size.name, size.tokens/size.hosts, size.tokens/size.hosts*token*2/1e6*100)
@@ -76,11 +78,13 @@
 	return block.String()
 }
 
-// appends returns the most appends a second that the fleet makes when each host
-// writes its own batches.
+// appends returns the most appends a second that the fleet makes. From a number
+// of hosts in a data centre on, one of them merges the appends of a stream.
 func (size fleetSize) appends() float64 {
-	calls := size.requests / size.hosts
-	return size.hosts * 2 * min(appendsPerSecond, calls)
+	if size.hosts/size.places >= mergeHosts {
+		return size.places * 2 * mergesPerSecond
+	}
+	return size.hosts * 2 * min(appendsPerSecond, size.requests/size.hosts)
 }
 
 // roles works out the cost of each role of a daemon from the slopes.
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 	engine   *standin.Engine
 	filing   *standin.Service
 	records  *standin.Service
+	mutex    sync.Mutex // of nodes, while traffic runs
 	nodes    []*node
 	secrets  map[string]string
 	keys     map[string]string
@@ -129,7 +131,7 @@
 		"--host", fmt.Sprintf("%s%d", place, len(cluster.nodes)), "--data-centre", place, "--platform", cluster.server.URL,
 		"--caller-address", freeAddress(cluster.t), "--peer-address", freeAddress(cluster.t),
 		"--metrics-address", freeAddress(cluster.t), "--peer-secret", "a-secret-for-tests-only",
-		"--drain-lag", "300ms", "--drain-timeout", "30s", "--append-interval", "5ms", "--max-body", "65536",
+		"--drain-lag", "300ms", "--drain-timeout", "30s", "--append-interval", "5ms", "--merge-hosts", "2", "--merge-interval", "5ms", "--max-body", "65536",
 	})
 	if err != nil {
 		cluster.t.Fatal(err)
@@ -139,7 +141,9 @@
 	if err := node.app.Start(context.Background()); err != nil {
 		cluster.t.Fatal(err)
 	}
+	cluster.mutex.Lock()
 	cluster.nodes = append(cluster.nodes, node)
+	cluster.mutex.Unlock()
 	cluster.list()
 	return node
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,13 +129,16 @@
 }
 
 func newOwner(settings Settings, own host.Heartbeat, log platform.Log, clock clockwork.Clock, metrics *metric.Metrics,
-	network *network, dispatcher *dispatch.Dispatcher) *owner.Owner {
+	network *network, dispatcher *dispatch.Dispatcher, lifecycle fx.Lifecycle) *owner.Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.StopHook(cancel))
+	network.merger = owner.NewMerger(ctx, owner.Direct{Log: log}, clock, metrics, settings.MergeInterval)
 	network.owner = owner.New(owner.Settings{
 		DataCentre:     settings.DataCentre,
 		Program:        program.DefaultSettings(own.Name, own.Incarnation),
 		AppendInterval: settings.AppendInterval,
 		LogRetention:   settings.LogRetention,
-	}, log, clock, metrics, network, dispatcher)
+	}, log, mergedAppender{network: network, direct: owner.Direct{Log: log}, atLeast: settings.MergeHosts}, clock, metrics, network, dispatcher)
 	return network.owner
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -242,8 +243,11 @@
 // balanced returns a client for one ready host, as a balancer picks it.
 func (cluster *cluster) balanced() *client.Client {
 	for {
-		for _, index := range time.Now().String() {
-			node := cluster.nodes[int(index)%len(cluster.nodes)]
+		cluster.mutex.Lock()
+		nodes := slices.Clone(cluster.nodes)
+		cluster.mutex.Unlock()
+		for _, place := range rand.Text() {
+			node := nodes[int(place)%len(nodes)]
 			response, err := http.Get(node.url() + "/readyz")
 			if err != nil {
 				continue
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -75,6 +75,7 @@
 	limiter   *admission.Limiter
 	follower  *configuration.Follower
 	permits   *permits
+	merger    *owner.Merger
 }
 
 // neighbours returns the other live hosts of the data centre, in order of rank
@@ -265,6 +266,10 @@
 		return handlers.permit(ctx, request, send)
 	case dispatch.MethodSettle:
 		return answer(request, send, handlers.settled)
+	case methodAppend:
+		return answer(request, send, func(message appendMessage) (owner.Position, error) {
+			return handlers.merge(ctx, message)
+		})
 	case dispatch.MethodBan:
 		return answer(request, send, handlers.ban)
 	case dispatch.MethodRelease:
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -24,6 +24,8 @@
 	PlatformWait   time.Duration `long:"platform-timeout" env:"GODWITSPREAD_PLATFORM_TIMEOUT" default:"2s" description:"bound of one exchange with the platform"`
 	Peers          []string      `long:"peer" env:"GODWITSPREAD_PEERS" env-delim:"," description:"further hosts as name=data_centre=address, for a start without the host list"`
 	AppendInterval time.Duration `long:"append-interval" env:"GODWITSPREAD_APPEND_INTERVAL" default:"40ms" description:"least time between two appends of this host to one stream"`
+	MergeInterval  time.Duration `long:"merge-interval" env:"GODWITSPREAD_MERGE_INTERVAL" default:"100ms" description:"least time between two appends that merge those of many hosts"`
+	MergeHosts     int           `long:"merge-hosts" env:"GODWITSPREAD_MERGE_HOSTS" default:"8" description:"live hosts of a data centre from which appends are merged"`
 	LogRetention   time.Duration `long:"log-retention" env:"GODWITSPREAD_LOG_RETENTION" default:"24h" description:"how long the platform's log keeps records"`
 	DrainLag       time.Duration `long:"drain-lag" env:"GODWITSPREAD_DRAIN_LAG" default:"5s" description:"time that the balancer needs to notice that this host is leaving"`
 	DrainTimeout   time.Duration `long:"drain-timeout" env:"GODWITSPREAD_DRAIN_TIMEOUT" default:"10m" description:"longest wait for running calls at a planned stop"`
@@ -64,7 +66,7 @@
 		report("peer-secret", strings.Repeat("*", len(settings.PeerSecret)), fmt.Sprintf("at least %d characters", minSecret))
 	}
 	durations := map[string]time.Duration{
-		"platform-timeout": settings.PlatformWait, "append-interval": settings.AppendInterval,
+		"platform-timeout": settings.PlatformWait, "append-interval": settings.AppendInterval, "merge-interval": settings.MergeInterval,
 		"log-retention": settings.LogRetention, "drain-timeout": settings.DrainTimeout,
 		"header-timeout": settings.HeaderTimeout, "body-timeout": settings.BodyTimeout,
 	}
@@ -73,6 +75,9 @@
 			report(flag, duration, "a time above zero")
 		}
 	}
+	if settings.MergeHosts < 1 {
+		report("merge-hosts", settings.MergeHosts, "a number of hosts above zero")
+	}
 	if settings.DrainLag < 0 {
 		report("drain-lag", settings.DrainLag, "a time of zero or more")
 	}
--- a/internal/owner/effect.go
+++ b/internal/owner/effect.go
@@ -55,11 +55,11 @@
 	owner.loop.Post(func() { owner.step(event) })
 }
 
-func (owner *Owner) stored(entries []ledger.Entry, offset int64) {
+func (owner *Owner) stored(entries []ledger.Entry, position Position) {
 	for index, entry := range entries {
 		owner.post(program.HistoryStored{
 			Program: entry.Program, Call: entry.Call, Number: entry.Number,
-			Location: ledger.Location{Offset: offset, Index: index + 1},
+			Location: ledger.Location{Offset: position.Offset, Index: position.First + index + 1},
 		})
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -140,7 +140,8 @@
 )
 
 // New returns an owner that has read nothing yet.
-func New(settings Settings, log platform.Log, clock clockwork.Clock, metrics *metric.Metrics, peers Peers, runner Runner) *Owner {
+// The appender writes its records and history to the log.
+func New(settings Settings, log platform.Log, appender Appender, clock clockwork.Clock, metrics *metric.Metrics, peers Peers, runner Runner) *Owner {
 	owner := &Owner{
 		settings: settings, log: log, clock: clock, metrics: metrics, peers: peers, runner: runner,
 		tail:    platform.NewTail(log, platform.LedgerStream(settings.DataCentre), pollWait, clock),
@@ -149,9 +150,9 @@
 		waiters: make(map[program.Token]*waiter), running: make(map[callKey]*runningCall),
 	}
 	owner.owners.Store(&[ledger.SlotCount]Ownership{})
-	owner.ledger = newGroupWriter(log, clock, metrics, platform.LedgerStream(settings.DataCentre),
+	owner.ledger = newGroupWriter(appender, clock, metrics, platform.LedgerStream(settings.DataCentre),
 		settings.AppendInterval, ledger.EncodeBatch, nil)
-	owner.history = newGroupWriter(log, clock, metrics, platform.HistoryStream(settings.DataCentre),
+	owner.history = newGroupWriter(appender, clock, metrics, platform.HistoryStream(settings.DataCentre),
 		settings.AppendInterval, ledger.EncodeEntries, owner.stored)
 	return owner
 }
--- a/internal/owner/writer.go
+++ b/internal/owner/writer.go
@@ -17,17 +17,38 @@
 // groupWriter appends items to a stream in order, many to one append. An
 // append whose answer is lost is repeated: readers drop what they have seen.
 type groupWriter[T any] struct {
-	log      platform.Log
+	appender Appender
 	clock    clockwork.Clock
 	metrics  *metric.Metrics
 	stream   string
 	interval time.Duration
 	encode   func([]T) ([]byte, error)
-	// stored is told the offset of each append.
-	stored func(items []T, offset int64)
+	// stored is told the position of each append.
+	stored func(items []T, position Position)
 	ring   chan T
 }
 
+// Position is where the items of an append stand: First is the number of items
+// before them in the append at the offset.
+type Position struct {
+	Offset int64 `msgpack:"o"`
+	First  int   `msgpack:"f"`
+}
+
+// Appender adds an encoded list of items to a stream.
+type Appender interface {
+	Append(ctx context.Context, stream string, data []byte) (Position, error)
+}
+
+// Direct appends to the log itself.
+type Direct struct{ Log platform.Log }
+
+// Append implements Appender.
+func (direct Direct) Append(ctx context.Context, stream string, data []byte) (Position, error) {
+	offset, err := direct.Log.Append(ctx, stream, data)
+	return Position{Offset: offset}, err
+}
+
 const (
 	writerRing    = 32768
 	maxBatch      = 2000                   // items of one append
@@ -35,10 +56,10 @@
 	appendLimit   = 2 * time.Second        // longest pause
 )
 
-func newGroupWriter[T any](log platform.Log, clock clockwork.Clock, metrics *metric.Metrics, stream string,
-	interval time.Duration, encode func([]T) ([]byte, error), stored func([]T, int64)) *groupWriter[T] {
+func newGroupWriter[T any](appender Appender, clock clockwork.Clock, metrics *metric.Metrics, stream string,
+	interval time.Duration, encode func([]T) ([]byte, error), stored func([]T, Position)) *groupWriter[T] {
 	return &groupWriter[T]{
-		log: log, clock: clock, metrics: metrics, stream: stream, interval: interval,
+		appender: appender, clock: clock, metrics: metrics, stream: stream, interval: interval,
 		encode: encode, stored: stored, ring: make(chan T, writerRing),
 	}
 }
@@ -96,11 +117,11 @@
 	backoff := appendBackoff
 	for ctx.Err() == nil {
 		started := writer.clock.Now()
-		offset, err := writer.log.Append(ctx, writer.stream, data)
+		position, err := writer.appender.Append(ctx, writer.stream, data)
 		if err == nil {
 			writer.metrics.Latency("append", writer.clock.Now().Sub(started))
 			if writer.stored != nil {
-				writer.stored(items, offset)
+				writer.stored(items, position)
 			}
 			return
 		}
