Refuse calls whose dependencies are down, and cut off a whole data centre

Cause: the text says what services depend on, and nothing used it; a data centre without the platform was tested by an outage of the whole log only. Change: queue holders tell in heartbeats which services have no usable target; calls of services that depend on one are refused as not run. A test cuts one data centre off: its programs go on, non-idempotent calls are refused as not run, the other data centre is not affected, and all is whole afterwards.

--- a/internal/daemon/cut_test.go
+++ b/internal/daemon/cut_test.go
@@ -87,6 +87,49 @@
 	is.True(err == nil || run == client.NotRun && code != "unauthorized") // other keys are still good there
 }
 
+// TestDataCentreCutFromPlatform cuts a whole data centre off from the platform.
+// Its programs go on with what may be repeated, and everything else is refused
+// as not run; the other data centre is not affected.
+func TestDataCentreCutFromPlatform(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	cluster := newCluster(t, "a")
+	proxy, cut := cutPlatform(t, cluster.server.URL)
+	direct := cluster.server.URL
+	cluster.server.URL = proxy.URL
+	lonely := []*node{cluster.start("b"), cluster.start("b")}
+	cluster.server.URL = direct
+	cluster.waitReady()
+	far, near := cluster.client("council", lonely...), cluster.client("council", cluster.nodes[0])
+	id := mustOpen(t, far, client.OpenOptions{})
+	_, err := far.Do(ctx, id, draft("before", "before"))
+	is.NoErr(err)
+	cut.Store(true)
+	cluster.eventually("the hosts notice", func() bool {
+		age, ok := lonely[0].daemon.owner.LedgerAge()
+		return ok && age > 3*time.Second
+	})
+	_, err = far.Do(ctx, id, draft("during", "during"))
+	is.NoErr(err) // answered from the memory of the second host, counted under witnesses
+	_, err = far.Do(ctx, id, client.Call{ID: "f", Service: "filing", Input: "{}", Timeout: time.Second})
+	_, run := codeOf(err)
+	is.Equal(run, client.NotRun)
+	_, err = far.Open(ctx, client.OpenOptions{})
+	is.True(err != nil) // a new program cannot be agreed there
+	other := mustOpen(t, near, client.OpenOptions{})
+	_, err = near.Do(ctx, other, client.Call{ID: "f", Service: "filing", Input: "{}", Timeout: 20 * time.Second})
+	is.NoErr(err)
+	cut.Store(false)
+	_, err = far.Do(ctx, id, client.Call{ID: "g", Service: "filing", Input: "{}", Timeout: 30 * time.Second})
+	is.NoErr(err)
+	turns, err := far.History(ctx, id)
+	is.NoErr(err)
+	is.Equal(len(turns), 3)
+	checkHistory(is, turns)
+	is.Equal(cluster.filing.Runs()[id+"/f"], 0)
+	is.Equal(cluster.filing.Runs()[id+"/g"], 1)
+}
+
 // TestStartWithoutLog starts a host while the log is away. It learns the
 // configuration from its neighbours.
 func TestStartWithoutLog(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,7 +143,7 @@
 }
 
 func newBeater(settings Settings, own host.Heartbeat, clock clockwork.Clock, metrics *metric.Metrics, client *platform.Client,
-	network *network, owner *owner.Owner, follower *configuration.Follower) (*host.Beater, error) {
+	network *network, holder *dispatch.Holder, owner *owner.Owner, follower *configuration.Follower) (*host.Beater, error) {
 	seeds, err := settings.peers()
 	if err != nil {
 		return nil, err
@@ -153,6 +153,7 @@
 		heartbeat.ConfigurationCurrent = ok
 		heartbeat.ConfigurationAgeMS = age.Milliseconds()
 		heartbeat.LedgerNext = owner.LedgerNext()
+		heartbeat.Down = holder.Down()
 		follower.View(func(state *configuration.State) {
 			heartbeat.Version = state.Version()
 			heartbeat.ConfigurationNext = state.Next()
--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -178,6 +179,15 @@
 	return addresses
 }
 
+// Down implements dispatch.Queues.
+func (network *network) Down(service string) bool {
+	down := slices.Contains(network.holder.Down(), service)
+	network.beater.View(func(membership *host.Membership, now time.Time) {
+		down = down || membership.Down(now, service)
+	})
+	return down
+}
+
 // permit grants a permit and takes it back if the asking host is lost.
 func (handlers *handlers) permit(ctx context.Context, request peer.Request, send func(any) error) error {
 	var message dispatch.PermitRequest
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,8 @@
 	Acquire(ctx context.Context, request PermitRequest) (Permit, func(target.Report), error)
 	// Release forgets a program and returns the targets that hold its prefix.
 	Release(ctx context.Context, program string) []string
+	// Down reports whether a service is known to have no usable target.
+	Down(service string) bool
 }
 
 // Dispatcher runs the calls that the owner of a program has decided on.
@@ -103,6 +106,11 @@
 		answered.Refusal = refusal.New(refusal.UnknownService, "service %q does not exist", dispatch.Service)
 		return answered
 	}
+	if missing := dispatcher.missing(service, nil); missing != "" {
+		answered.Refusal = refusal.New(refusal.DependencyUnavailable,
+			"service %q depends on %q, which has no usable target", dispatch.Service, missing).WithRetryAfter(time.Second)
+		return answered
+	}
 	ctx, cancel := context.WithTimeout(ctx, dispatch.Deadline.Sub(dispatcher.clock.Now()))
 	defer cancel()
 	run := &run{dispatch: dispatch, service: service, text: dispatch.Partial}
@@ -123,6 +131,25 @@
 	}
 }
 
+// missing returns a service that this one depends on, also through others, and
+// that is down; empty if there is none.
+func (dispatcher *Dispatcher) missing(service configuration.Service, seen []string) string {
+	for _, name := range service.DependsOn {
+		if slices.Contains(seen, name) {
+			continue
+		}
+		seen = append(seen, name)
+		if dispatcher.queues.Down(name) {
+			return name
+		}
+		next, _ := dispatcher.service(name)
+		if missing := dispatcher.missing(next, seen); missing != "" {
+			return missing
+		}
+	}
+	return ""
+}
+
 // refusalOf turns the last failure of a call into what its caller gets.
 func refusalOf(failure *failure) *refusal.Refusal {
 	if failure.refusal != nil {
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -28,6 +28,7 @@
 	mutex     sync.Mutex
 	addresses []string
 	reports   []target.Report
+	down      string
 }
 
 func (queues *queues) Acquire(context.Context, dispatch.PermitRequest) (dispatch.Permit, func(target.Report), error) {
@@ -44,6 +45,8 @@
 	}, nil
 }
 
+func (queues *queues) Down(service string) bool { return service == queues.down }
+
 func (*queues) Release(context.Context, string) []string { return nil }
 
 func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
@@ -64,6 +67,7 @@
 	dispatcher.SetText(&configuration.Text{Services: []configuration.Service{
 		{Name: "draft", Kind: "engine", Repeatable: true, FirstByteTimeout: 2 * time.Second, TokenTimeout: 300 * time.Millisecond},
 		{Name: "filing", Kind: "plain", Timeout: 300 * time.Millisecond, TokenTimeout: 300 * time.Millisecond},
+		{Name: "invoice", Kind: "plain", Timeout: time.Second, DependsOn: []string{"filing"}},
 		{Name: "stock", Kind: "plain", Repeatable: true, Timeout: 300 * time.Millisecond, TokenTimeout: 300 * time.Millisecond},
 	}})
 	return dispatcher
@@ -119,6 +123,23 @@
 	}
 }
 
+// TestDependencies refuses calls of services that depend on one that is down,
+// also through others, before anything runs.
+func TestDependencies(t *testing.T) {
+	is := is.New(t)
+	service := standin.NewService(0)
+	server := httptest.NewServer(service)
+	defer server.Close()
+	queues := &queues{addresses: []string{address(server)}, down: "filing"}
+	answered := newDispatcher(queues).Run(context.Background(), plainCall("invoice", false), func(string) {})
+	is.Equal(answered.Refusal.Code, refusal.DependencyUnavailable)
+	is.Equal(answered.Refusal.Run, refusal.NotRun)
+	is.Equal(len(service.Runs()), 0)
+	queues.down = "unrelated"
+	answered = newDispatcher(queues).Run(context.Background(), plainCall("invoice", false), func(string) {})
+	is.True(answered.Refusal == nil)
+}
+
 // TestNoReplay checks that neither a redirect nor a reused connection makes
 // the library send a non-idempotent call again, and that no caller's header
 // gets through.
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -30,6 +32,7 @@
 	// are those known here, with the time of their ban.
 	spread func(digests []string)
 	banned map[string]time.Time
+	down   atomic.Pointer[[]string] // services without a usable target
 }
 
 const (
@@ -57,6 +60,27 @@
 		holder.decide(pool.Tick(holder.clock.Now()))
 	}
 	holder.spreadBans()
+	holder.publishDown()
+}
+
+// publishDown makes the services without a usable target known.
+func (holder *Holder) publishDown() {
+	down := []string{}
+	for name, pool := range holder.pools {
+		if pool.Down() {
+			down = append(down, name)
+		}
+	}
+	slices.Sort(down)
+	holder.down.Store(&down)
+}
+
+// Down returns the services whose queue is held here and has no usable target.
+func (holder *Holder) Down() []string {
+	if down := holder.down.Load(); down != nil {
+		return *down
+	}
+	return nil
 }
 
 // spreadBans passes on what the own queues have found out.
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -105,8 +105,8 @@
 
 // fence returns the number for orders of a service, and false if this host may
 // not give any now.
-func (orderer *Orderer) fence(service string) (uint64, bool) {
-	slot := int(xxhash.Sum64String("orders\x00"+service) % ledger.SlotCount)
+func (orderer *Orderer) fence(service configuration.Service) (uint64, bool) {
+	slot := int(xxhash.Sum64String("orders\x00"+service.Name) % ledger.SlotCount)
 	epoch, ok := orderer.holding.Held(slot)
 	orderer.mutex.Lock()
 	defer orderer.mutex.Unlock()
@@ -118,8 +118,9 @@
 	if orderer.since[slot].epoch != epoch {
 		orderer.since[slot] = tenure{epoch: epoch, since: now}
 	}
-	// An earlier owner may act until its lease has run out.
-	if epoch > 1 && now.Sub(orderer.since[slot].since) < workspace.TakeoverWait {
+	// An earlier owner may act until its lease has run out. Targets that check
+	// the number refuse it by themselves.
+	if !service.Fencing && epoch > 1 && now.Sub(orderer.since[slot].since) < workspace.TakeoverWait {
 		return 0, false
 	}
 	return epoch<<versionBits | orderer.version&(1<<versionBits-1), true
@@ -132,7 +133,7 @@
 	if err != nil || loaded == service.Model {
 		return
 	}
-	number, ok := orderer.fence(service.Name)
+	number, ok := orderer.fence(service)
 	if !ok {
 		return
 	}
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -62,7 +62,9 @@
 		before.Round(context.Background())
 		is.Equal(modelOf(t, server), "old")
 		after.Round(context.Background())
-		is.Equal(modelOf(t, server), "old") // the earlier owner's lease may still run
+		if !fenced {
+			is.Equal(modelOf(t, server), "old") // the earlier owner's lease may still run
+		}
 		clock.Advance(workspace.TakeoverWait + time.Second)
 		after.Round(context.Background())
 		is.Equal(modelOf(t, server), "new")
--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -26,6 +26,21 @@
 	ConfigurationAgeMS   int64  `msgpack:"ca"`
 	ConfigurationCurrent bool   `msgpack:"cc"`
 	LedgerNext           int64  `msgpack:"ln"`
+	// Down are the services that this host knows to have no usable target.
+	Down []string `msgpack:"dn"`
+}
+
+// Down reports whether a live host of the data centre says that a service whose
+// queue it holds has no usable target.
+func (membership *Membership) Down(now time.Time, service string) bool {
+	for _, member := range membership.members {
+		heartbeat := member.heartbeat
+		if heartbeat.DataCentre == membership.own.DataCentre && now.Sub(member.heard) <= FailureTimeout &&
+			slices.Contains(heartbeat.Down, service) {
+			return true
+		}
+	}
+	return false
 }
 
 // Member is the last known state of a host.
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -63,6 +63,16 @@
 // Running returns the number of permits that are out.
 func (pool *Pool) Running() int { return len(pool.permits) }
 
+// Down reports whether the pool has targets and none of them can be used.
+func (pool *Pool) Down() bool {
+	for _, target := range pool.list {
+		if !target.leaving && !target.breaker.open {
+			return false
+		}
+	}
+	return len(pool.list) > 0
+}
+
 // Quarantined returns the digests that are refused.
 func (pool *Pool) Quarantined() []string { return pool.quarantine.list() }
 
