Count a program's age once and keep the reason of a call that did not run

Cause: reading the code showed that each turn added the whole age of its owner to the age in the ledger, so that time limits came too early, and that a non-idempotent call refused by its queue was reported as target_failed. Change: the age under earlier owners is taken once; the refusal is kept until its outcome has been read back.

--- a/internal/program/commit.go
+++ b/internal/program/commit.go
@@ -79,12 +79,10 @@
 	machine.emit(Store{Entry: machine.chained(program, active.entry)})
 }
 
-// settle writes the outcome of the active non-idempotent call.
+// settle writes the outcome of a non-idempotent call that did not run.
 func (machine *Machine) settle(program *state, refused *refusal.Refusal) {
 	active := program.active
-	if refused != nil {
-		active.entry.Output = refused.Message
-	}
+	active.refusal = refused
 	record := machine.record(program.slot, program.id)
 	record.Outcome = &ledger.Outcome{
 		Call: active.request.Call, Attempt: active.attempt, Result: active.result,
@@ -244,7 +242,7 @@
 		return
 	}
 	if outcome.Result == ledger.ResultNotRun {
-		machine.dropActive(program, refusal.New(refusal.TargetFailed, "%s", active.entry.Output).WithRetryAfter(retryDelay))
+		machine.dropActive(program, active.refusal)
 		return
 	}
 	program.active = nil
--- a/internal/program/limit.go
+++ b/internal/program/limit.go
@@ -11,11 +11,7 @@
 
 // age returns how long a program has been open, summed over its owners.
 func (machine *Machine) age(program *state) time.Duration {
-	var earlier time.Duration
-	if entry, ok := machine.book.Program(program.id); ok {
-		earlier = entry.Age()
-	}
-	return earlier + machine.now.Sub(program.since)
+	return program.earlier + machine.now.Sub(program.since)
 }
 
 // tick applies deadlines and limits.
--- a/internal/program/protocol_test.go
+++ b/internal/program/protocol_test.go
@@ -299,6 +299,72 @@
 	is.True(entry.Granted() >= 102)
 }
 
+// TestRefusedByTarget tells the caller why a non-idempotent call did not run,
+// and lets it run when it is sent again.
+func TestRefusedByTarget(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	fleet.send(0, "o1")
+	fleet.appendOne(0, appendTaken)
+	fleet.readOne(0)
+	dispatch := fleet.hosts[0].dispatches[0]
+	fleet.hosts[0].dispatches = nil
+	fleet.step(0, program.Answered{
+		Program: simProgram, Call: "o1", Attempt: dispatch.Attempt, Refusal: refusal.New(refusal.QueueFull, "full"),
+	})
+	is.Equal(len(fleet.refusals), 0) // not before the ledger has it
+	fleet.progress(0)
+	is.Equal(fleet.refusals["o1"], refusal.NotRun)
+	fleet.send(0, "o1")
+	for range 10 {
+		fleet.progress(0)
+	}
+	is.Equal(fleet.runs["o1"], 1)
+	_, answered := fleet.answers["o1"]
+	is.True(answered)
+	is.Equal(fleet.faults, nil)
+}
+
+// TestAge checks that the time limit counts the age of a program once, however
+// many turns and owners it has had.
+func TestAge(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	const limited = "dc.1.limited"
+	fleet.step(0, program.Opened{Token: 1, Program: limited, Slot: simSlot, Open: ledger.Open{
+		Root: limited, Workspace: "w", Budget: simBudget, Limits: ledger.Limits{Time: time.Minute},
+	}})
+	owner := 0
+	for call := range 5 {
+		for range 12 {
+			fleet.progress(owner)
+		}
+		fleet.step(owner, program.Called{Slot: simSlot, Request: program.Request{
+			Token: program.Token(10 + call), Workspace: "w", Program: limited, Call: fmt.Sprint("i", call),
+			Service: "s", Kind: program.KindEngine, Repeatable: true, Input: "in", MaxTokens: 5, Timeout: 20 * time.Second,
+		}})
+		for range 12 {
+			fleet.progress(owner)
+		}
+		if call == 2 {
+			fleet.crash(0)
+			owner = 1
+			fleet.takeOver(owner)
+		}
+		fleet.advance(10 * time.Second)
+	}
+	entry, ok := fleet.hosts[owner].machine.Book().Program(limited)
+	is.True(ok)
+	is.Equal(entry.Turns(), 5)
+	is.Equal(entry.Ended(), ledger.EndReason("")) // 50 seconds old
+	is.True(entry.Age() >= 30*time.Second && entry.Age() <= 45*time.Second)
+	fleet.advance(25 * time.Second)
+	for range 12 {
+		fleet.progress(owner)
+	}
+	is.Equal(entry.Ended(), ledger.EndTime)
+}
+
 // TestConsolidation lets the log drop everything before a refresh. A successor
 // still finds the whole history.
 func TestConsolidation(t *testing.T) {
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -29,6 +29,7 @@
 	number    int
 	entry     ledger.Entry
 	result    ledger.Result
+	refusal   *refusal.Refusal // of a call that did not run
 	cancelled bool
 }
 
@@ -64,7 +65,8 @@
 	// settled; granting is the highest grant proposed. Both are used on roots.
 	consumed  int64
 	granting  int64
-	since     time.Time // when this host began to count the age
+	since     time.Time     // when this host began to count the age
+	earlier   time.Duration // age under earlier owners
 	idleSince time.Time
 	// consolidated is when the history was last known to stand in one entry
 	// whose age is bounded; consolidating while such an entry is stored.
@@ -90,6 +92,9 @@
 		id: id, slot: slot, calls: make(map[string]int),
 		since: machine.now, idleSince: machine.now, consolidated: machine.now, abandoned: make(map[string]bool),
 	}
+	if entry, ok := machine.book.Program(id); ok {
+		program.earlier = entry.Age()
+	}
 	machine.programs[id] = program
 	return program
 }
