--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -137,6 +137,7 @@
 	gatherTimeout = 800 * time.Millisecond
 	replicateWait = time.Second
 	loadTimeout   = 10 * time.Second
+	markInterval  = time.Minute
 )
 
 // New returns an owner that has read nothing yet.
@@ -187,11 +188,20 @@
 			owner.caughtUp.Store(true)
 		}
 		if count := len(reads); count > 0 {
-			owner.marks = append(owner.marks, mark{offset: reads[count-1].Offset, at: owner.clock.Now()})
+			owner.mark(reads[count-1].Offset)
 		}
 	})
 }
 
+// mark notes when an offset was read, at most once in an interval.
+func (owner *Owner) mark(offset int64) {
+	now := owner.clock.Now()
+	if count := len(owner.marks); count > 0 && now.Sub(owner.marks[count-1].at) < markInterval {
+		return
+	}
+	owner.marks = append(owner.marks, mark{offset: offset, at: now})
+}
+
 func (owner *Owner) forgetReplicas(records []ledger.Record) {
 	for _, record := range records {
 		if record.Turn != nil {
