--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -124,7 +124,7 @@
 			member.heartbeat.Address = host.Address
 			member.heartbeat.DataCentre = host.DataCentre
 		}
-		member.listed = host.State
+		member.listed = cmp.Or(host.State, platform.HostLive)
 	}
 	for name, member := range membership.members {
 		if member.listed == "" && now.Sub(member.heard) > forgetAfter {
--- a/internal/program/commit.go
+++ b/internal/program/commit.go
@@ -1,6 +1,8 @@
 package program
 
 import (
+	"slices"
+
 	"github.com/godwitspread/godwitspread/internal/ledger"
 	"github.com/godwitspread/godwitspread/internal/refusal"
 )
@@ -208,6 +210,10 @@
 			machine.dispatch(program)
 			return
 		}
+		if verdict == ledger.OutOfOrder && machine.holds(program.slot) {
+			machine.requeueActive(program)
+			return
+		}
 		machine.dropActive(program, moved(program.id))
 		return
 	}
@@ -218,6 +224,17 @@
 	}
 }
 
+// requeueActive puts a call back whose intent met an earlier one that this host
+// has given up. It is announced again when that one is void.
+func (machine *Machine) requeueActive(program *state) {
+	active := program.active
+	program.active = nil
+	machine.rootState(program).consumed -= active.reserved
+	program.queue = slices.Insert(program.queue, 0, queuedCall{
+		request: active.request, tokens: active.tokens, deadline: active.deadline,
+	})
+}
+
 // outcomeApplied answers the call whose outcome the ledger has settled.
 func (machine *Machine) outcomeApplied(program *state, record ledger.Record, verdict ledger.Verdict) {
 	outcome := record.Outcome
--- a/internal/program/protocol_test.go
+++ b/internal/program/protocol_test.go
@@ -117,42 +117,60 @@
 	t.Logf("%d calls answered, %d of them non-idempotent", answered, settledOnce)
 }
 
-// TestKillPoints kills or pauses the owner at each step of a non-idempotent
-// call and lets another host take over.
+// TestKillPoints meets the owner with a fault at each step of a
+// non-idempotent call, and sends the call again.
 func TestKillPoints(t *testing.T) {
 	steps := []struct {
 		name string
-		do   func(fleet *fleet)
+		do   func(fleet *fleet, fate appendFate)
 	}{
-		{"sent", func(fleet *fleet) { fleet.send(0, "o1") }},
-		{"intent appended", func(fleet *fleet) { fleet.appendOne(0, appendTaken) }},
-		{"intent read", func(fleet *fleet) { fleet.readOne(0) }},
-		{"dispatched and run", func(fleet *fleet) { fleet.execute(0, false) }},
-		{"answer arrived", func(fleet *fleet) { fleet.deliver(0) }},
-		{"history stored", func(fleet *fleet) { fleet.storeOne(0) }},
-		{"outcome appended", func(fleet *fleet) { fleet.appendOne(0, appendTaken) }},
-		{"outcome read", func(fleet *fleet) { fleet.readOne(0) }},
+		{"sent", func(fleet *fleet, _ appendFate) { fleet.send(0, "o1") }},
+		{"intent appended", func(fleet *fleet, fate appendFate) { fleet.appendOne(0, fate) }},
+		{"intent read", func(fleet *fleet, _ appendFate) { fleet.readOne(0) }},
+		{"run by its target", func(fleet *fleet, _ appendFate) { fleet.execute(0, false) }},
+		{"answer arrived", func(fleet *fleet, _ appendFate) { fleet.deliver(0) }},
+		{"history stored", func(fleet *fleet, _ appendFate) { fleet.storeOne(0) }},
+		{"outcome appended", func(fleet *fleet, fate appendFate) { fleet.appendOne(0, fate) }},
+		{"outcome read", func(fleet *fleet, _ appendFate) { fleet.readOne(0) }},
 	}
-	for _, paused := range []bool{false, true} {
+	faults := []struct {
+		name string
+		fate appendFate
+		meet func(fleet *fleet)
+		// owner is the host that the call is sent to again.
+		owner int
+	}{
+		{"killed", appendTaken, func(fleet *fleet) { fleet.crash(0); fleet.takeOver(1) }, 1},
+		{"paused through a takeover", appendTaken, func(fleet *fleet) { fleet.takeOver(1) }, 1},
+		{"answers of the log lost, killed", appendAnswerLost, func(fleet *fleet) { fleet.crash(0); fleet.takeOver(1) }, 1},
+		{"log away for ten seconds", appendTaken, func(fleet *fleet) {
+			fleet.outage = true
+			fleet.advance(10 * time.Second)
+			fleet.outage = false
+		}, 0},
+		{"log away past the deadline", appendTaken, func(fleet *fleet) {
+			fleet.outage = true
+			fleet.advance(25 * time.Second)
+			fleet.outage = false
+		}, 0},
+		{"sent to two hosts at once", appendTaken, func(fleet *fleet) { fleet.send(2, "o1"); fleet.takeOver(2) }, 2},
+	}
+	for _, fault := range faults {
 		for reached := range len(steps) + 1 {
-			name := fmt.Sprintf("paused %t after %d steps", paused, reached)
-			t.Run(name, func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s after %d steps", fault.name, reached), func(t *testing.T) {
 				is := is.New(t)
 				fleet := startedFleet()
 				for _, step := range steps[:reached] {
-					step.do(fleet)
-				}
-				if !paused {
-					fleet.crash(0)
+					step.do(fleet, fault.fate)
 				}
-				fleet.takeOver(1)
-				fleet.send(1, "o1")
+				fault.meet(fleet)
+				fleet.send(fault.owner, "o1")
 				fleet.settle()
 				fleet.check()
 				is.Equal(fleet.faults, nil)
 				is.True(fleet.runs["o1"] <= 1)
 				_, answered := fleet.answers["o1"]
-				is.True(answered || fleet.refusals["o1"] == refusal.Unknown) // an answer, or honestly unknown
+				is.True(answered || fleet.refusals["o1"] == refusal.Unknown) // an answer, or known to be unknown
 			})
 		}
 	}
