Pass the clock to connections and exchanges, and keep host names in metrics

Cause: two packages of the shell read the time directly, and the labels of metrics had underscores in place of the dashes of host names. Change: the clock is passed in; deadlines of sockets stay in real time, which they need. Values of labels keep dashes and dots.

--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/godwitspread/godwitspread/internal/codec"
 	"github.com/godwitspread/godwitspread/internal/configuration"
 	"github.com/godwitspread/godwitspread/internal/host"
@@ -367,7 +369,7 @@
 // this process.
 func relaySlope() (slope, error) {
 	result := slope{Name: "relay: processor of a token, both ends of a hop", Unit: "us"}
-	server := peer.NewTransport("b", "b-1", "secret-secret-secret", func(_ context.Context, request peer.Request, send func(any) error) error {
+	server := peer.NewTransport("b", "b-1", "secret-secret-secret", clockwork.NewRealClock(), func(_ context.Context, request peer.Request, send func(any) error) error {
 		var count int
 		if err := request.Decode(&count); err != nil {
 			return err
@@ -383,7 +385,7 @@
 		return result, err
 	}
 	defer server.Close()
-	caller := peer.NewTransport("a", "a-1", "secret-secret-secret", nil)
+	caller := peer.NewTransport("a", "a-1", "secret-secret-secret", clockwork.NewRealClock(), nil)
 	defer caller.Close()
 	for _, count := range []int{500, 1000, 2000} {
 		var failed error
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -102,9 +102,9 @@
 
 // newNetwork returns the network with the parts that do not need it; the
 // others are added when they exist.
-func newNetwork(own host.Heartbeat, settings Settings, metrics *metric.Metrics, follower *configuration.Follower) (*network, *handlers, *peer.Transport) {
+func newNetwork(own host.Heartbeat, settings Settings, clock clockwork.Clock, metrics *metric.Metrics, follower *configuration.Follower) (*network, *handlers, *peer.Transport) {
 	handlers := &handlers{follower: follower}
-	transport := peer.NewTransport(own.Name, own.Incarnation, settings.PeerSecret, handlers.handle)
+	transport := peer.NewTransport(own.Name, own.Incarnation, settings.PeerSecret, clock, handlers.handle)
 	network := &network{own: own, metrics: metrics, transport: transport, follower: follower, permits: newPermits()}
 	handlers.network = network
 	return network, handlers, transport
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -62,7 +62,7 @@
 // NewDispatcher returns a dispatcher. The seed is for the jitter of retries.
 func NewDispatcher(clock clockwork.Clock, metrics *metric.Metrics, queues Queues, seed uint64) *Dispatcher {
 	return &Dispatcher{
-		clock: clock, metrics: metrics, queues: queues, client: NewClient(), text: &configuration.Text{},
+		clock: clock, metrics: metrics, queues: queues, client: NewClient(clock), text: &configuration.Text{},
 		retries: rate.NewLimiter(retryRate, retryBurst), random: rand.New(rand.NewPCG(seed, 2)),
 	}
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -15,6 +15,8 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/godwitspread/godwitspread/internal/program"
 	"github.com/godwitspread/godwitspread/internal/refusal"
 	"github.com/godwitspread/godwitspread/internal/target"
@@ -35,6 +37,7 @@
 
 // Client does the HTTP exchanges with targets.
 type Client struct {
+	clock  clockwork.Clock
 	pooled *http.Client
 	fresh  *http.Client
 }
@@ -42,7 +45,7 @@
 // NewClient returns a client that follows no redirect, uses no proxy and
 // keeps no cookies. Calls that may not be repeated get a fresh connection, so
 // that the transport has no reason to send them again.
-func NewClient() *Client {
+func NewClient(clock clockwork.Clock) *Client {
 	build := func(transport *http.Transport) *http.Client {
 		transport.Proxy = nil
 		transport.DialContext = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
@@ -53,6 +56,7 @@
 		}
 	}
 	return &Client{
+		clock:  clock,
 		pooled: build(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second}),
 		fresh:  build(&http.Transport{DisableKeepAlives: true}),
 	}
@@ -60,15 +64,15 @@
 
 // watchdog cancels an exchange that makes no progress.
 type watchdog struct {
-	timer  *time.Timer
+	timer  clockwork.Timer
 	cancel context.CancelCauseFunc
 }
 
 var errSilent = errors.New("target fell silent")
 
-func newWatchdog(parent context.Context, limit time.Duration) (context.Context, *watchdog) {
+func newWatchdog(parent context.Context, clock clockwork.Clock, limit time.Duration) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(parent)
-	return ctx, &watchdog{timer: time.AfterFunc(limit, func() { cancel(errSilent) }), cancel: cancel}
+	return ctx, &watchdog{timer: clock.AfterFunc(limit, func() { cancel(errSilent) }), cancel: cancel}
 }
 
 func (watchdog *watchdog) progress(limit time.Duration) { watchdog.timer.Reset(limit) }
@@ -113,9 +117,9 @@
 
 // plain runs a call on a plain service.
 func (client *Client) plain(parent context.Context, address string, dispatch program.Dispatch, limits timeouts) exchange {
-	ctx, watchdog := newWatchdog(parent, limits.firstByte)
+	ctx, watchdog := newWatchdog(parent, client.clock, limits.firstByte)
 	defer watchdog.stop()
-	started := time.Now()
+	started := client.clock.Now()
 	request, connected, err := build(ctx, http.MethodPost, "http://"+address+"/", []byte(dispatch.Input))
 	if err != nil {
 		return exchange{failure: &failure{kind: target.FailureRefused, run: refusal.NotRun, text: err.Error()}}
@@ -131,7 +135,7 @@
 		return exchange{failure: classify(parent, ctx, err, *connected)}
 	}
 	defer response.Body.Close()
-	first := time.Since(started)
+	first := client.clock.Since(started)
 	watchdog.progress(limits.token)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
@@ -173,9 +177,9 @@
 }
 
 func (client *Client) stream(parent context.Context, method, path string, data []byte, limits timeouts, each func(string)) exchange {
-	ctx, watchdog := newWatchdog(parent, limits.firstByte)
+	ctx, watchdog := newWatchdog(parent, client.clock, limits.firstByte)
 	defer watchdog.stop()
-	started := time.Now()
+	started := client.clock.Now()
 	request, connected, err := build(ctx, method, path, data)
 	if err != nil {
 		return exchange{failure: &failure{kind: target.FailureRefused, run: refusal.NotRun, text: err.Error()}}
@@ -190,7 +194,7 @@
 	if response.StatusCode != http.StatusOK {
 		return exchange{failure: &failure{kind: target.FailureError, run: refusal.Unknown, text: "target answered " + response.Status}}
 	}
-	result := exchange{status: response.StatusCode, started: started}
+	result := exchange{status: response.StatusCode, clock: client.clock, started: started}
 	ended, err := readEvents(response.Body, func(event string, data []byte) (bool, error) {
 		watchdog.progress(limits.token)
 		return result.take(event, data, each)
@@ -215,7 +219,7 @@
 			return false, fmt.Errorf("decode token event: %w", err)
 		}
 		if exchange.firstByte == 0 {
-			exchange.firstByte = time.Since(exchange.started)
+			exchange.firstByte = exchange.clock.Since(exchange.started)
 		}
 		exchange.output += token.Text
 		each(token.Text)
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/godwitspread/godwitspread/internal/refusal"
 	"github.com/godwitspread/godwitspread/internal/target"
 )
@@ -74,6 +76,7 @@
 	output    string
 	status    int
 	report    target.Report
+	clock     clockwork.Clock
 	started   time.Time
 	firstByte time.Duration
 	failure   *failure
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -60,7 +60,7 @@
 // NewOrderer returns an orderer without a configuration.
 func NewOrderer(clock clockwork.Clock, metrics *metric.Metrics, dataCentre string, holding Holding) *Orderer {
 	return &Orderer{
-		clock: clock, metrics: metrics, client: NewClient(), dataCentre: dataCentre, holding: holding,
+		clock: clock, metrics: metrics, client: NewClient(clock), dataCentre: dataCentre, holding: holding,
 		text: &configuration.Text{}, since: make(map[int]tenure),
 	}
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -23,6 +23,14 @@
 
 const reportInterval = time.Second
 
+// sanitizing keeps names as Prometheus wants them, and host names as they are.
+var sanitizing = tally.SanitizeOptions{
+	NameCharacters:       prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters:      tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreDashDotCharacters},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
 // New returns metrics that are served to Prometheus.
 func New(host, dataCentre string) *Metrics {
 	registry := prom.NewRegistry()
@@ -30,7 +38,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "godwitspread", Tags: map[string]string{"host": host, "data_centre": dataCentre},
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+		SanitizeOptions: &sanitizing, OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
 }
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/godwitspread/godwitspread/internal/codec"
 	"github.com/godwitspread/godwitspread/internal/refusal"
 )
@@ -47,6 +49,7 @@
 // connection multiplexes calls in both directions over one socket.
 type connection struct {
 	socket   net.Conn
+	clock    clockwork.Clock
 	handler  Handler
 	remote   hello
 	outgoing chan frame
@@ -60,15 +63,16 @@
 	serving map[uint64]context.CancelFunc
 }
 
-func newConnection(socket net.Conn, handler Handler) *connection {
+func newConnection(socket net.Conn, clock clockwork.Clock, handler Handler) *connection {
 	return &connection{
-		socket: socket, handler: handler, outgoing: make(chan frame, outgoingFrames), done: make(chan struct{}),
+		socket: socket, clock: clock, handler: handler, outgoing: make(chan frame, outgoingFrames), done: make(chan struct{}),
 		calls: make(map[uint64]chan frame), serving: make(map[uint64]context.CancelFunc),
 	}
 }
 
 // handshake exchanges greetings and checks the shared secret.
 func (connection *connection) handshake(own hello) error {
+	// Deadlines of sockets are in real time, whatever the clock.
 	if err := connection.socket.SetDeadline(time.Now().Add(silenceLimit)); err != nil {
 		return err
 	}
@@ -97,7 +101,7 @@
 
 // start runs the duties of the connection.
 func (connection *connection) start() {
-	connection.heard.Store(time.Now().UnixNano())
+	connection.heard.Store(connection.clock.Now().UnixNano())
 	go connection.write()
 	go connection.read()
 	go connection.beat()
@@ -162,14 +166,14 @@
 }
 
 func (connection *connection) beat() {
-	ticker := time.NewTicker(heartbeatInterval)
+	ticker := connection.clock.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-connection.done:
 			return
-		case <-ticker.C:
-			if time.Since(time.Unix(0, connection.heard.Load())) > silenceLimit {
+		case <-ticker.Chan():
+			if connection.clock.Since(time.Unix(0, connection.heard.Load())) > silenceLimit {
 				connection.close()
 				return
 			}
@@ -189,7 +193,7 @@
 		if err != nil {
 			return
 		}
-		connection.heard.Store(time.Now().UnixNano())
+		connection.heard.Store(connection.clock.Now().UnixNano())
 		connection.take(message)
 	}
 }
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/godwitspread/godwitspread/internal/refusal"
@@ -41,8 +42,8 @@
 // pair returns two transports, the second listening.
 func pair(t *testing.T, handler Handler) (*Transport, *Transport) {
 	t.Helper()
-	caller := NewTransport("a", "a-1", "secret", handler)
-	server := NewTransport("b", "b-1", "secret", handler)
+	caller := NewTransport("a", "a-1", "secret", clockwork.NewRealClock(), handler)
+	server := NewTransport("b", "b-1", "secret", clockwork.NewRealClock(), handler)
 	if err := server.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +113,7 @@
 func TestWrongSecret(t *testing.T) {
 	is := is.New(t)
 	_, server := pair(t, nil)
-	stranger := NewTransport("c", "c-1", "other", nil)
+	stranger := NewTransport("c", "c-1", "other", clockwork.NewRealClock(), nil)
 	defer stranger.Close()
 	err := stranger.Call(context.Background(), server.Address(), "count", nil, nil)
 	is.True(errors.Is(err, ErrConnection))
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -8,11 +8,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 // Transport accepts connections of other hosts and dials them on demand.
 type Transport struct {
 	own      hello
+	clock    clockwork.Clock
 	handler  Handler
 	listener net.Listener
 	rejected atomic.Int64
@@ -27,9 +30,10 @@
 
 // NewTransport returns a transport for a host. The secret must be the same on
 // every host.
-func NewTransport(host, incarnation, secret string, handler Handler) *Transport {
+func NewTransport(host, incarnation, secret string, clock clockwork.Clock, handler Handler) *Transport {
 	return &Transport{
 		own:      hello{Host: host, Incarnation: incarnation, Secret: secret},
+		clock:    clock,
 		handler:  handler,
 		dialed:   make(map[string]*connection),
 		accepted: make(map[*connection]struct{}),
@@ -68,7 +72,7 @@
 }
 
 func (transport *Transport) welcome(socket net.Conn) {
-	connection := newConnection(socket, transport.handler)
+	connection := newConnection(socket, transport.clock, transport.handler)
 	if err := connection.handshake(transport.own); err != nil {
 		transport.rejected.Add(1)
 		socket.Close()
@@ -124,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	connection := newConnection(socket, transport.handler)
+	connection := newConnection(socket, transport.clock, transport.handler)
 	if err := connection.handshake(transport.own); err != nil {
 		socket.Close()
 		return nil, err
