Elect one host of a data centre to repeat the configuration

Cause: every host repeated every key; at 370 hosts and 7,600 keys that is 100 appends a second. Change: the first host of each data centre by rank repeats them.

--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -157,9 +157,10 @@
 	follower.notify()
 }
 
-// Refresh repeats the text and the withdrawals before the log drops them. It
-// runs until the context ends; two hosts that do it at once are harmless.
-func (follower *Follower) Refresh(ctx context.Context, retention time.Duration, incarnation string) {
+// Refresh repeats the text, the keys and the withdrawals before the log drops
+// them, as long as this host is elected to. It runs until the context ends; two
+// hosts that do it at once are harmless.
+func (follower *Follower) Refresh(ctx context.Context, retention time.Duration, incarnation string, elected func() bool) {
 	if retention <= 0 {
 		return
 	}
@@ -169,6 +170,9 @@
 			return
 		case <-follower.clock.After(retention / 3):
 		}
+		if !elected() {
+			continue
+		}
 		for _, record := range follower.refreshRecords(incarnation, number) {
 			data, err := record.Encode()
 			if err != nil {
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -37,6 +37,7 @@
 	records  *standin.Service
 	mutex    sync.Mutex // of nodes, while traffic runs
 	nodes    []*node
+	retained time.Duration
 	secrets  map[string]string
 	keys     map[string]string
 }
@@ -75,10 +76,16 @@
 
 // newCluster starts the stand-ins and a daemon for each data centre named.
 func newCluster(t *testing.T, places ...string) *cluster {
+	t.Helper()
+	return newClusterOn(t, time.Hour, places...)
+}
+
+// newClusterOn is newCluster with a log that keeps records for a time.
+func newClusterOn(t *testing.T, retained time.Duration, places ...string) *cluster {
 	t.Helper()
 	random := mathrand.New(mathrand.NewPCG(1, 1))
-	cluster := &cluster{t: t, secrets: make(map[string]string), keys: make(map[string]string)}
-	cluster.log = standin.NewLog(clockwork.NewRealClock(), random.Float64, time.Hour, 2000)
+	cluster := &cluster{t: t, retained: retained, secrets: make(map[string]string), keys: make(map[string]string)}
+	cluster.log = standin.NewLog(clockwork.NewRealClock(), random.Float64, retained, 2000)
 	cluster.platform = standin.NewPlatform(cluster.log, 0)
 	cluster.server = httptest.NewServer(cluster.platform.Handler())
 	cluster.engine = standin.NewEngine(standin.EngineSettings{Slots: 32, CacheTokens: 1 << 20, Step: 10 * time.Millisecond})
@@ -131,7 +138,7 @@
 		"--host", fmt.Sprintf("%s%d", place, len(cluster.nodes)), "--data-centre", place, "--platform", cluster.server.URL,
 		"--caller-address", freeAddress(cluster.t), "--peer-address", freeAddress(cluster.t),
 		"--metrics-address", freeAddress(cluster.t), "--peer-secret", "a-secret-for-tests-only",
-		"--drain-lag", "300ms", "--drain-timeout", "30s", "--append-interval", "5ms", "--merge-hosts", "2", "--merge-interval", "5ms", "--max-body", "65536",
+		"--log-retention", cluster.retained.String(), "--drain-lag", "300ms", "--drain-timeout", "30s", "--append-interval", "5ms", "--merge-hosts", "2", "--merge-interval", "5ms", "--max-body", "65536",
 	})
 	if err != nil {
 		cluster.t.Fatal(err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -269,7 +269,7 @@
 	go daemon.limiter.Run(daemon.ctx)
 	go daemon.owner.Run(daemon.ctx)
 	go daemon.follower.Run(daemon.ctx)
-	go daemon.follower.Refresh(daemon.ctx, daemon.settings.LogRetention, daemon.own.Incarnation)
+	go daemon.follower.Refresh(daemon.ctx, daemon.settings.LogRetention, daemon.own.Incarnation, daemon.refreshes)
 	go daemon.beater.Run(daemon.ctx)
 	go daemon.claim(daemon.ctx)
 	go daemon.orderer.Run(daemon.ctx)
@@ -338,6 +338,18 @@
 	return incarnations
 }
 
+// refreshes reports whether this host repeats the configuration for its data
+// centre.
+func (daemon *Daemon) refreshes() bool {
+	var names []string
+	daemon.beater.View(func(membership *host.Membership, now time.Time) {
+		for _, heartbeat := range membership.Live(now, daemon.own.DataCentre) {
+			names = append(names, heartbeat.Name)
+		}
+	})
+	return len(names) > 0 && host.RankKey("refresh", "configuration", names)[0] == daemon.own.Name
+}
+
 // ledgerFresh is the age of the view of the ledger up to which slots are
 // claimed.
 const ledgerFresh = 5 * time.Second
