--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -1,15 +1,17 @@
 package configuration
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"reflect"
+	"regexp"
 	"sort"
+	"strconv"
 	"strings"
 
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
+	"go.yaml.in/yaml/v3"
 )
 
 // Problem is one fault of a text.
@@ -49,21 +51,25 @@
 	if len(data) > maxText {
 		return nil, Problems{{Message: fmt.Sprintf("text has %d bytes, the limit is %d", len(data), maxText)}}
 	}
-	file, err := parser.ParseBytes(data, 0)
+	root, err := document(data)
 	if err != nil {
-		return nil, Problems{syntaxProblem(err)}
+		return nil, Problems{positioned(err.Error())}
 	}
-	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
-		return nil, Problems{{Message: fmt.Sprintf("text holds %d documents, expected 1", len(file.Docs))}}
-	}
-	checker := &checker{file: file}
-	checker.fields(file.Docs[0].Body, reflect.TypeFor[Text](), "$")
+	checker := &checker{root: root}
 	text := &Text{}
-	if err := decode(file.Docs[0].Body, text); err != nil {
-		checker.problems = append(checker.problems, syntaxProblem(err))
-		return nil, checker.sorted()
+	if err := decode(root, text); err != nil {
+		var mistyped *yaml.TypeError
+		if !errors.As(err, &mistyped) {
+			return nil, Problems{positioned(err.Error())}
+		}
+		for _, line := range mistyped.Errors {
+			checker.problems = append(checker.problems, positioned(line))
+		}
+	}
+	checker.fields(root, reflect.TypeFor[Text](), "$")
+	if len(checker.problems) == 0 || !checker.mistyped() {
+		checker.check(text)
 	}
-	checker.check(text)
 	if len(checker.problems) > 0 {
 		return nil, checker.sorted()
 	}
@@ -71,36 +77,65 @@
 	return text, nil
 }
 
-// decode fills the model from the text. The YAML library panics on some
-// malformed texts; that is one more fault of the text.
-func decode(node ast.Node, text *Text) (err error) {
+// document reads the one document of a text.
+func document(data []byte) (*yaml.Node, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	var first, second yaml.Node
+	if err := decoder.Decode(&first); errors.Is(err, io.EOF) {
+		return nil, errors.New("text holds no document")
+	} else if err != nil {
+		return nil, err
+	}
+	if err := decoder.Decode(&second); !errors.Is(err, io.EOF) {
+		return nil, errors.New("text holds more than one document")
+	}
+	if first.Kind != yaml.DocumentNode || len(first.Content) != 1 {
+		return nil, errors.New("text holds no document")
+	}
+	return first.Content[0], nil
+}
+
+// decode fills the model from the text. A panic of the YAML library on a
+// malformed text is one more fault of the text.
+func decode(root *yaml.Node, text *Text) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = fmt.Errorf("text cannot be read: %v", cause)
 		}
 	}()
-	return yaml.NodeToValue(node, text)
+	return root.Decode(text)
 }
 
-// syntaxProblem keeps the position of an error of the YAML library.
-func syntaxProblem(err error) Problem {
-	var positioned yaml.Error
-	if !errors.As(err, &positioned) {
-		return Problem{Message: err.Error()}
-	}
-	problem := Problem{Path: "$", Message: positioned.GetMessage()}
-	if token := positioned.GetToken(); token != nil && token.Position != nil {
-		problem.Line, problem.Column = token.Position.Line, token.Position.Column
+var linePattern = regexp.MustCompile(`^(?:yaml: )?line (\d+): `)
+
+// positioned takes the line out of a message of the YAML library.
+func positioned(message string) Problem {
+	found := linePattern.FindStringSubmatch(message)
+	if found == nil {
+		return Problem{Message: strings.TrimPrefix(message, "yaml: ")}
 	}
-	return problem
+	// The pattern allows digits only.
+	line, _ := strconv.Atoi(found[1])
+	return Problem{Line: line, Column: 1, Path: "$", Message: message[len(found[0]):]}
 }
 
 // checker collects the problems of one text.
 type checker struct {
-	file     *ast.File
+	root     *yaml.Node
 	problems Problems
 }
 
+// mistyped reports whether a value could not be read, so that the model holds
+// only a part of the text.
+func (checker *checker) mistyped() bool {
+	for _, problem := range checker.problems {
+		if problem.Path == "$" {
+			return true
+		}
+	}
+	return false
+}
+
 func (checker *checker) sorted() Problems {
 	sort.SliceStable(checker.problems, func(a, b int) bool {
 		first, second := checker.problems[a], checker.problems[b]
@@ -113,41 +148,31 @@
 }
 
 // fields reports the keys that the type does not have.
-func (checker *checker) fields(node ast.Node, kind reflect.Type, path string) {
-	switch node := node.(type) {
-	case *ast.SequenceNode:
-		if kind.Kind() != reflect.Slice {
-			return
-		}
-		for index, value := range node.Values {
+func (checker *checker) fields(node *yaml.Node, kind reflect.Type, path string) {
+	switch {
+	case node.Kind == yaml.AliasNode:
+		checker.fields(node.Alias, kind, path)
+	case node.Kind == yaml.SequenceNode && kind.Kind() == reflect.Slice:
+		for index, value := range node.Content {
 			checker.fields(value, kind.Elem(), fmt.Sprintf("%s[%d]", path, index))
 		}
-	case *ast.MappingNode:
-		if kind.Kind() != reflect.Struct {
-			return
-		}
-		for _, value := range node.Values {
-			checker.field(value, kind, path)
-		}
-	case *ast.MappingValueNode:
-		if kind.Kind() == reflect.Struct {
-			checker.field(node, kind, path)
+	case node.Kind == yaml.MappingNode && kind.Kind() == reflect.Struct:
+		for index := 0; index+1 < len(node.Content); index += 2 {
+			checker.field(node.Content[index], node.Content[index+1], kind, path)
 		}
 	}
 }
 
-func (checker *checker) field(node *ast.MappingValueNode, kind reflect.Type, path string) {
-	name := node.Key.String()
+func (checker *checker) field(key, value *yaml.Node, kind reflect.Type, path string) {
 	for index := range kind.NumField() {
-		if field := kind.Field(index); field.Tag.Get("yaml") == name {
-			checker.fields(node.Value, field.Type, path+"."+name)
+		if field := kind.Field(index); field.Tag.Get("yaml") == key.Value {
+			checker.fields(value, field.Type, path+"."+key.Value)
 			return
 		}
 	}
-	position := node.Key.GetToken().Position
 	checker.problems = append(checker.problems, Problem{
-		Line: position.Line, Column: position.Column, Path: path + "." + name,
-		Message: fmt.Sprintf("field %q does not exist here", name),
+		Line: key.Line, Column: key.Column, Path: path + "." + key.Value,
+		Message: fmt.Sprintf("field %q does not exist here", key.Value),
 	})
 }
 
@@ -155,27 +180,45 @@
 // parent that exists.
 func (checker *checker) report(path, format string, args ...any) {
 	problem := Problem{Path: path, Message: fmt.Sprintf(format, args...)}
-	for at := path; at != "$"; at = parentPath(at) {
-		pointer, err := yaml.PathString(at)
-		if err != nil {
-			continue
-		}
-		node, err := pointer.FilterFile(checker.file)
-		if err != nil || node == nil {
-			continue
-		}
-		if position := node.GetToken().Position; position != nil {
-			problem.Line, problem.Column = position.Line, position.Column
+	if node := locate(checker.root, path); node != nil {
+		problem.Line, problem.Column = node.Line, node.Column
+	}
+	checker.problems = append(checker.problems, problem)
+}
+
+var stepPattern = regexp.MustCompile(`\.([^.\[]+)|\[(\d+)\]`)
+
+// locate follows a path such as "$.workspaces[3].rate" as far as it exists.
+func locate(node *yaml.Node, path string) *yaml.Node {
+	for _, step := range stepPattern.FindAllStringSubmatch(path, -1) {
+		next := child(node, step[1], step[2])
+		if next == nil {
 			break
 		}
+		node = next
 	}
-	checker.problems = append(checker.problems, problem)
+	return node
 }
 
-func parentPath(path string) string {
-	cut := strings.LastIndexAny(path, ".[")
-	if cut <= 0 {
-		return "$"
+// child returns the value of a name in a mapping, or of an index in a sequence.
+func child(node *yaml.Node, name, index string) *yaml.Node {
+	if node.Kind == yaml.AliasNode {
+		node = node.Alias
+	}
+	if name == "" {
+		// The pattern allows digits only.
+		if place, _ := strconv.Atoi(index); node.Kind == yaml.SequenceNode && place < len(node.Content) {
+			return node.Content[place]
+		}
+		return nil
+	}
+	if node.Kind != yaml.MappingNode {
+		return nil
+	}
+	for place := 0; place+1 < len(node.Content); place += 2 {
+		if node.Content[place].Value == name {
+			return node.Content[place+1]
+		}
 	}
-	return path[:cut]
+	return nil
 }
