Wait for the own grants after a holder's proof has lapsed

Cause: reading the limiter showed that a holder that lost its proof for a moment, or whose workspace was removed and came back, started an account without the loans that were still out, and could admit up to a second of its rate too much. Change: such accounts accrue after the life of a grant.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -78,6 +78,7 @@
 	holder  *workspace.Holder
 	waiters map[uint64]chan *refusal.Refusal
 	slots   map[int]*heldSlot
+	lapsed  map[int]uint64 // epochs in which the proof of a slot was lost
 	bySlot  map[int][]configuration.Workspace
 	raises  map[string]raise
 }
@@ -109,7 +110,7 @@
 		clock: clock, metrics: metrics, dataCentre: dataCentre, peers: peers, holding: holding, name: name,
 		loop: duty.NewLoop(limiterRing), text: &configuration.Text{}, spender: workspace.NewSpender(),
 		holder: workspace.NewHolder(name), waiters: make(map[uint64]chan *refusal.Refusal),
-		slots: make(map[int]*heldSlot), bySlot: make(map[int][]configuration.Workspace), raises: make(map[string]raise),
+		slots: make(map[int]*heldSlot), lapsed: make(map[int]uint64), bySlot: make(map[int][]configuration.Workspace), raises: make(map[string]raise),
 	}
 }
 
@@ -131,8 +132,10 @@
 			limiter.bySlot[slot] = append(limiter.bySlot[slot], space)
 			limiter.change(before, space)
 		}
+		// A workspace that comes back may have grants out from before.
+		from := limiter.clock.Now().Add(workspace.GrantTTL)
 		for slot, held := range limiter.slots {
-			limiter.hold(slot, held)
+			limiter.hold(slot, held, from)
 		}
 	})
 }
@@ -150,8 +153,9 @@
 	}
 }
 
-// hold sets the accounts of one slot.
-func (limiter *Limiter) hold(slot int, held *heldSlot) {
+// hold sets the accounts of one slot. New ones accrue from a time on, and not
+// before the slot's own wait is over.
+func (limiter *Limiter) hold(slot int, held *heldSlot, from time.Time) {
 	now := limiter.clock.Now()
 	for _, space := range limiter.bySlot[slot] {
 		share := workspace.ShareOf(limiter.text, space, limiter.dataCentre)
@@ -159,7 +163,7 @@
 			share = raise.share
 		}
 		if share.Rate > 0 {
-			limiter.holder.Hold(now, later(now, held.accrue), space.Name, share.Rate, share.Burst)
+			limiter.holder.Hold(now, later(from, held.accrue), space.Name, share.Rate, share.Burst)
 		}
 	}
 	for _, name := range limiter.holder.Held() {
@@ -192,19 +196,31 @@
 				}
 			}
 			delete(limiter.slots, slot)
+			limiter.lapsed[slot] = held.epoch
 			known = false
 		}
 		if ok && !known {
-			held = &heldSlot{epoch: epoch, accrue: now}
-			if epoch > 1 {
-				held.accrue = now.Add(workspace.TakeoverWait)
-			}
+			held = &heldSlot{epoch: epoch, accrue: now.Add(limiter.takeoverWait(slot, epoch))}
 			limiter.slots[slot] = held
-			limiter.hold(slot, held)
+			limiter.hold(slot, held, now)
 		}
 	}
 }
 
+// takeoverWait returns how long a new account must not accrue: the lease and
+// the grants of an earlier holder, or this host's own grants of before it lost
+// its proof.
+func (limiter *Limiter) takeoverWait(slot int, epoch uint64) time.Duration {
+	switch {
+	case limiter.lapsed[slot] == epoch:
+		return workspace.GrantTTL
+	case epoch > 1:
+		return workspace.TakeoverWait
+	default:
+		return 0
+	}
+}
+
 func (limiter *Limiter) tick() {
 	now := limiter.clock.Now()
 	limiter.follow()
@@ -224,7 +240,7 @@
 		delete(limiter.raises, name)
 		slot := workspace.Slot(name, ledger.SlotCount)
 		if held, ok := limiter.slots[slot]; ok {
-			limiter.hold(slot, held)
+			limiter.hold(slot, held, now)
 		}
 	}
 }
