Refuse resends to a busy program truthfully

Cause: reading the refusals once more showed that a full queue, and a backlog of the log, said "not run" of a call that an earlier owner may have run. Change: both say unknown where that is so. Figures: TestBusyResend; a call that was never sent is still refused as not run.

--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -82,7 +82,12 @@
 // answer of the request.
 func (owner *Owner) Call(ctx context.Context, slot int, request program.Request, each func(string) error) (program.Answer, error) {
 	if owner.backlogged() {
-		return program.Answer{}, refusal.New(refusal.LogUnavailable, "the log is too far behind to take more calls").WithRetryAfter(time.Second)
+		refused := refusal.New(refusal.LogUnavailable, "the log is too far behind to take more calls").WithRetryAfter(time.Second)
+		if !request.Repeatable {
+			// An earlier send of the same call may have run.
+			refused = refused.WithRun(refusal.Unknown)
+		}
+		return program.Answer{}, refused
 	}
 	request.Token = program.Token(owner.nextID.Add(1))
 	reply, err := owner.ask(ctx, request.Token, program.Called{Slot: slot, Request: request}, len(request.Partial), each)
--- a/internal/program/call.go
+++ b/internal/program/call.go
@@ -35,8 +35,9 @@
 		return
 	}
 	if len(program.queue) >= queueLimit {
-		machine.refuse(request.Token, refusal.New(refusal.ProgramBusy,
-			"program %q has %d calls waiting", program.id, len(program.queue)).WithRetryAfter(retryDelay))
+		busy := refusal.New(refusal.ProgramBusy,
+			"program %q has %d calls waiting", program.id, len(program.queue)).WithRetryAfter(retryDelay)
+		machine.refuse(request.Token, machine.truthful(program, queuedCall{request: request}, busy))
 		return
 	}
 	machine.tokens[request.Token] = tokenPlace{program: program.id, call: request.Call}
--- a/internal/program/protocol_test.go
+++ b/internal/program/protocol_test.go
@@ -343,6 +343,26 @@
 	is.Equal(fleet.faults, nil)
 }
 
+// TestBusyResend sends a call again that has run, to a successor whose queue
+// for the program is full.
+func TestBusyResend(t *testing.T) {
+	is := is.New(t)
+	fleet := startedFleet()
+	fleet.send(0, "o1")
+	fleet.progress(0)
+	is.Equal(fleet.runs["o1"], 1)
+	fleet.crash(0)
+	fleet.takeOver(1)
+	for call := range 16 {
+		fleet.send(1, fmt.Sprint("i", call))
+	}
+	fleet.send(1, "o1")
+	is.Equal(fleet.refusals["o1"], refusal.Unknown)
+	fleet.send(1, "o2")
+	is.Equal(fleet.refusals["o2"], refusal.NotRun)
+	is.Equal(fleet.faults, nil)
+}
+
 // TestAge checks that the time limit counts the age of a program once, however
 // many turns and owners it has had.
 func TestAge(t *testing.T) {
