--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -300,6 +300,10 @@
 
 // collect asks the other data centres for tokens of a workspace.
 func (limiter *Limiter) collect(asked time.Time, collect workspace.Collect) {
+	space, ok := limiter.text.Workspace(collect.Workspace)
+	if !ok || workspace.ShareOf(limiter.text, space, limiter.dataCentre).Home != "" {
+		return // no other data centre holds any
+	}
 	slot := workspace.Slot(collect.Workspace, ledger.SlotCount)
 	others := 0
 	for _, place := range limiter.text.DataCentres {
--- a/internal/bench/rate_fleet.go
+++ b/internal/bench/rate_fleet.go
@@ -327,6 +327,9 @@
 // collect asks the holders of the other data centres for tokens.
 func (fleet *rateFleet) collect(member *rateHost, collect workspace.Collect) {
 	space := fleet.spaces[spaceIndex(collect.Workspace)]
+	if workspace.ShareOf(fleet.text, space.Workspace, fleet.text.DataCentres[member.place].Name).Home != "" {
+		return // nobody else holds any
+	}
 	asked := fleet.now
 	others := len(fleet.byPlace) - 1
 	for place := range fleet.byPlace {
--- a/internal/bench/rates.go
+++ b/internal/bench/rates.go
@@ -92,6 +92,7 @@
 const (
 	rateWarmup  = 5 * time.Second
 	rateMeasure = 40 * time.Second
+	rateFill    = 25 * time.Second
 )
 
 func rateScenarios() []rateScenario {
@@ -131,12 +132,13 @@
 	if scenario.disturb != nil {
 		scenario.disturb(fleet)
 	}
-	duration := rateMeasure
+	warmup, duration := rateWarmup, rateMeasure
 	if scenario.large {
-		duration = rateMeasure / 4
+		// The smallest workspaces take this long to fill their burst.
+		warmup, duration = rateFill, rateMeasure/4
 	}
-	fleet.after(rateWarmup, fleet.forget)
-	fleet.run(rateWarmup + duration)
+	fleet.after(warmup, fleet.forget)
+	fleet.run(warmup + duration)
 	return fleet.result(scenario, policy, duration)
 }
 
--- a/internal/workspace/account.go
+++ b/internal/workspace/account.go
@@ -115,3 +115,16 @@
 	account.Refill(now)
 	account.tokens = math.Min(account.tokens+amount, account.room())
 }
+
+// Wait returns the time until the account holds an amount, and false if it
+// never will.
+func (account *Account) Wait(now time.Time, amount float64) (time.Duration, bool) {
+	account.Refill(now)
+	if account.tokens >= amount {
+		return 0, true
+	}
+	if account.rate <= 0 || amount > account.cap {
+		return 0, false
+	}
+	return time.Duration((amount - account.tokens) / account.rate * float64(time.Second)), true
+}
--- a/internal/workspace/bound_test.go
+++ b/internal/workspace/bound_test.go
@@ -276,3 +276,32 @@
 	now = now.Add(500 * time.Millisecond)
 	is.Equal(account.Tokens(now)+lent, 10.0) // the later loan still counts
 }
+
+// TestLateDeposit drops moved tokens that have been on their way for longer
+// than their giver counts them.
+func TestLateDeposit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	holder := workspace.NewHolder("h")
+	holder.Hold(now, now.Add(time.Hour), "w", 10, 10)
+	later := now.Add(2 * workspace.GrantTTL)
+	holder.Deposit(later, later.Add(-workspace.GrantTTL), "w", 5)
+	is.Equal(holder.Tokens(later, "w"), 0.0)
+	holder.Deposit(later, later.Add(-workspace.GrantTTL+time.Millisecond), "w", 5)
+	is.Equal(holder.Tokens(later, "w"), 5.0)
+}
+
+// TestWholeTokens lets two hosts ask a holder that has less than a token. It
+// grants nothing rather than parts that would run out unspent.
+func TestWholeTokens(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	holder := workspace.NewHolder("h")
+	holder.Hold(now, now, "w", 1, 4)
+	now = now.Add(700 * time.Millisecond)
+	ask := workspace.Ask{Workspace: "w", Need: 1, Least: 1}
+	grant := holder.Ask(now, ask)
+	is.Equal(grant.Amount, 0.0)
+	is.True(grant.RetryAfter > 200*time.Millisecond && grant.RetryAfter <= 300*time.Millisecond) // when the token is whole
+	is.Equal(holder.Ask(now.Add(300*time.Millisecond), ask).Amount, 1.0)
+}
--- a/internal/workspace/holder.go
+++ b/internal/workspace/holder.go
@@ -10,6 +10,9 @@
 type Ask struct {
 	Workspace string  `msgpack:"workspace"`
 	Need      float64 `msgpack:"need"`
+	// Least is the smallest grant that is of use. Parts of a token spread over
+	// many hosts would run out unspent.
+	Least float64 `msgpack:"least,omitempty"`
 	// Uses reports what became of earlier grants of the same holder.
 	Uses []Use `msgpack:"uses,omitempty"`
 }
@@ -30,6 +33,8 @@
 	ID        uint64  `msgpack:"id"`
 	Holder    string  `msgpack:"holder"`
 	Amount    float64 `msgpack:"amount"`
+	// RetryAfter is when to ask again if nothing was granted.
+	RetryAfter time.Duration `msgpack:"retry_after,omitempty"`
 	// Held tells that the answering host holds the workspace.
 	Held bool `msgpack:"held"`
 }
@@ -61,6 +66,7 @@
 	collectInterval = 100 * time.Millisecond
 	collectLimit    = 2 * time.Second // longest pause between fruitless collects
 	horizon         = 300 * time.Millisecond
+	maxRetry        = 500 * time.Millisecond // longest pause asked of a host
 	// quietDemand is the demand, in tokens a second, below which an account is
 	// not looked at until it is asked again.
 	quietDemand = 0.05
@@ -116,6 +122,11 @@
 		held.account.Settle(now, use.Grant, use.Spent)
 		held.takeBack(now, use)
 	}
+	if wait, ok := held.account.Wait(now, ask.Least-rounding); wait > 0 || !ok {
+		held.unmet = math.Max(held.unmet, ask.Need)
+		holder.active[ask.Workspace] = held
+		return Grant{Workspace: ask.Workspace, Holder: holder.name, Held: true, RetryAfter: min(wait, maxRetry)}
+	}
 	id, amount := held.account.Lend(now, ask.Need, GrantTTL)
 	held.unmet = math.Max(held.unmet, ask.Need-amount)
 	held.demand.add(now, amount)
--- a/internal/workspace/spender.go
+++ b/internal/workspace/spender.go
@@ -59,7 +59,10 @@
 	activePurse  = 2 * time.Second
 	waitingFloor = 16
 	prefetchFrom = 0.5 // expected requests from which tokens are asked for ahead
-	reportFrom   = 4.0 // spent tokens that are reported without a need
+	// reportFrom are the spent tokens that are reported without a need. Where
+	// the rate is lower each use is, because the holder's account does not
+	// accrue over a loan that it does not know to be spent.
+	reportFrom = 4.0
 	// smallNeed is not worth a message by itself, in tokens.
 	smallNeed = 0.05
 )
@@ -182,7 +185,7 @@
 	}
 	purse.asking = false
 	spender.active[answer.Workspace] = purse
-	purse.retryAt = now.Add(askPause)
+	purse.retryAt = now.Add(max(askPause, answer.RetryAfter))
 	if until := asked.Add(GrantTTL); answer.Amount > 0 && now.Before(until) {
 		purse.grants = append(purse.grants, grant{
 			id: answer.ID, holder: answer.Holder, amount: answer.Amount, until: until,
@@ -223,18 +226,24 @@
 	}
 	purse.expire(now)
 	ahead := math.Min(purse.demand.rate(now), purse.rate) * prefetch.Seconds()
+	if ahead < prefetchFrom {
+		ahead = 0 // would run out unspent more often than not
+	}
 	need := float64(len(purse.waiting)) + ahead - purse.granted()
 	if now.Sub(purse.usedAt) >= GrantTTL {
 		// The loans have run out; nobody waits for the report.
 		purse.uses = nil
 	}
-	urgent := len(purse.waiting) > 0 || need > ahead/2 && need > smallNeed && ahead > prefetchFrom
-	if !urgent && purse.spent() < max(reportFrom, ahead) {
+	urgent := len(purse.waiting) > 0 || need > ahead/2 && need > smallNeed
+	if !urgent && purse.spent() < max(min(reportFrom, purse.rate), ahead) {
 		return Ask{}, false
 	}
 	purse.asking = true
 	purse.askedAt = now
 	ask := Ask{Workspace: workspace, Need: math.Max(0, need), Uses: purse.uses}
+	if len(purse.waiting) > 0 {
+		ask.Least = math.Max(0, 1-purse.granted())
+	}
 	purse.uses = nil
 	return ask, true
 }
