Consolidate the histories of an earlier owner soon after a takeover

Change: a history taken over counts as of unknown age and is consolidated at the next refresh, which a takeover brings forward to a sixteenth of the retention.

--- a/internal/owner/effect.go
+++ b/internal/owner/effect.go
@@ -32,6 +32,7 @@
 	case program.Replicate:
 		go owner.replicate(effect)
 	case program.Gather:
+		owner.refreshSoon()
 		go owner.gather(effect)
 	case program.Dispatch:
 		owner.dispatch(effect)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -245,6 +245,15 @@
 	owner.metrics.Gauge("replicas", float64(owner.replicas.Len()))
 }
 
+// refreshSoon brings the next refresh forward after a takeover: the histories
+// of an earlier owner may be close to their expiry.
+func (owner *Owner) refreshSoon() {
+	soon := owner.clock.Now().Add(owner.settings.LogRetention / 16)
+	if owner.refreshAt.IsZero() || soon.Before(owner.refreshAt) {
+		owner.refreshAt = soon
+	}
+}
+
 // refresh repeats records before the log drops them.
 func (owner *Owner) refresh() {
 	now := owner.clock.Now()
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -94,6 +94,8 @@
 	}
 	if entry, ok := machine.book.Program(id); ok {
 		program.earlier = entry.Age()
+		// The history of an earlier owner is of unknown age.
+		program.consolidated = zeroTime
 	}
 	machine.programs[id] = program
 	return program
--- a/internal/program/takeover.go
+++ b/internal/program/takeover.go
@@ -34,6 +34,7 @@
 		program.loaded = false
 		program.loading = false
 		program.consolidating = false
+		program.consolidated = zeroTime
 		if entry.Intent() != nil && !machine.running(program, entry.Intent().Attempt) {
 			program.resolveAt = machine.now.Add(entry.Intent().Timeout + machine.settings.OutcomeGrace)
 		}
