Check that a target left out of the text gets no new work

Cause: with the line that marks such targets taken out, every check still passed; only the direct order to leave was tested. Change: TestRemovedTarget removes a target from the text while it runs a call.

--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -101,6 +101,21 @@
 	is.Equal(len(bench.pool.Targets()), 1) // forgotten when its call has ended
 }
 
+// TestRemovedTarget leaves a target out of the text while it runs a call.
+func TestRemovedTarget(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(2, 4)
+	running := bench.submit(call("w", 100))
+	is.Equal(bench.granted[running], "t000")
+	bench.take(bench.pool.SetTargets(bench.now, []string{"t001"}, 4))
+	for range 4 {
+		is.Equal(bench.granted[bench.submit(call("w", 100))], "t001") // no new work for the other
+	}
+	is.Equal(len(bench.pool.Targets()), 2) // its call goes on
+	bench.settle(running, target.Report{})
+	is.Equal(len(bench.pool.Targets()), 1)
+}
+
 // TestQuarantine lets a request crash each target that runs it, beside
 // innocent ones.
 func TestQuarantine(t *testing.T) {
