--- /dev/null
+++ b/internal/budget/purses.go
@@ -0,0 +1,210 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/store"
+)
+
+// ErrSpent reports a budget that does not hold one more turn.
+var ErrSpent = errors.New("budget of the program is spent")
+
+const (
+	sliceShare = 0.5             // of a budget that a host takes at once: enough for most programs, and a lost host leaves the other half
+	memoryTime = 3 * time.Minute // longer than any route remembers a program
+)
+
+// Recaller asks another host to return what it holds of a budget and has not
+// spent. It reports whether that host is known to be lost for good.
+type Recaller func(ctx context.Context, holder, program string) (lost bool, err error)
+
+// Purses holds this host's parts of budgets.
+type Purses struct {
+	book   *book
+	clock  clockwork.Clock
+	logger log.Interface
+	recall Recaller
+
+	mutex  sync.Mutex
+	purses map[string]*purse
+}
+
+// purse is what this host has taken of a program's budget.
+type purse struct {
+	mutex    sync.Mutex // held while the store is asked
+	counts   sync.Mutex
+	budget   int
+	taken    int
+	spent    int
+	reserved int
+	used     time.Time
+}
+
+// NewPurses returns purses of a host. The holder is the host's incarnation.
+func NewPurses(reading store.Store, writer *store.Writer, clock clockwork.Clock, logger log.Interface, holder string, partitions int, recall Recaller) *Purses {
+	return &Purses{
+		book: newBook(reading, writer, clock, holder, partitions), clock: clock, logger: logger, recall: recall,
+		purses: make(map[string]*purse),
+	}
+}
+
+// Reservation is a turn's part of a budget.
+type Reservation struct {
+	purse  *purse
+	tokens int
+	once   sync.Once
+}
+
+// Settle counts what the turn has generated and frees the rest.
+func (reservation *Reservation) Settle(used int) {
+	reservation.once.Do(func() {
+		purse := reservation.purse
+		purse.counts.Lock()
+		defer purse.counts.Unlock()
+		purse.reserved -= reservation.tokens
+		purse.spent += used
+	})
+}
+
+// Reserve takes tokens for one turn. It returns ErrSpent if the budget does not
+// hold them, and another error if that cannot be told now.
+func (purses *Purses) Reserve(ctx context.Context, program string, budget, tokens int) (*Reservation, error) {
+	purse := purses.purse(program, budget)
+	if purse.reserve(tokens, purses.clock.Now()) {
+		return &Reservation{purse: purse, tokens: tokens}, nil
+	}
+	purse.mutex.Lock()
+	defer purse.mutex.Unlock()
+	// A turn that waited here too may have brought enough for both.
+	if purse.reserve(tokens, purses.clock.Now()) {
+		return &Reservation{purse: purse, tokens: tokens}, nil
+	}
+	if err := purses.fill(ctx, program, purse, tokens); err != nil {
+		return nil, err
+	}
+	if purse.reserve(tokens, purses.clock.Now()) {
+		return &Reservation{purse: purse, tokens: tokens}, nil
+	}
+	return nil, ErrSpent
+}
+
+// fill takes more of the budget, and calls back what other hosts hold if that
+// is not enough.
+func (purses *Purses) fill(ctx context.Context, program string, purse *purse, tokens int) error {
+	if err := purses.take(ctx, program, purse, tokens); err != nil {
+		return err
+	}
+	if purse.free() >= tokens {
+		return nil
+	}
+	_, holders := purses.book.known(program)
+	recalled := false
+	for _, holder := range holders {
+		lost, err := purses.recall(ctx, holder, program)
+		switch {
+		case err == nil:
+			recalled = true
+		case !lost:
+			return fmt.Errorf("recall the part of host %q: %w", holder, err)
+		}
+	}
+	if !recalled {
+		return nil
+	}
+	return purses.take(ctx, program, purse, tokens)
+}
+
+func (purses *Purses) take(ctx context.Context, program string, purse *purse, tokens int) error {
+	missing := tokens - purse.free()
+	taken, holders := purses.book.known(program)
+	if len(holders) == 0 && purse.budget-taken <= 0 && purse.taken > 0 {
+		return nil
+	}
+	ask := max(missing, int(sliceShare*float64(purse.budget)))
+	if purse.taken > 0 {
+		// The first part was not enough; the rest goes in smaller ones.
+		ask = max(missing, 2*tokens)
+	}
+	held, err := purses.book.take(ctx, program, purse.budget, ask)
+	if err != nil {
+		return err
+	}
+	purse.counts.Lock()
+	purse.taken += held
+	purse.counts.Unlock()
+	purses.logger.WithFields(log.Fields{"program": program, "budget": purse.budget, "asked": ask, "held": held, "taken_before": taken}).Info("part of a budget taken")
+	return nil
+}
+
+// Release returns what this host holds of a program and has not spent. Another
+// host has asked for it.
+func (purses *Purses) Release(ctx context.Context, program string) error {
+	purses.mutex.Lock()
+	one, ok := purses.purses[program]
+	purses.mutex.Unlock()
+	if !ok {
+		return nil
+	}
+	one.counts.Lock()
+	free := one.taken - one.spent - one.reserved
+	budget := one.budget
+	if free > 0 {
+		one.taken -= free
+	}
+	one.counts.Unlock()
+	if free <= 0 {
+		return nil
+	}
+	_, err := purses.book.take(ctx, program, budget, -free)
+	return err
+}
+
+func (purses *Purses) purse(program string, budget int) *purse {
+	purses.mutex.Lock()
+	defer purses.mutex.Unlock()
+	one, ok := purses.purses[program]
+	if !ok {
+		one = &purse{budget: budget, used: purses.clock.Now()}
+		purses.purses[program] = one
+	}
+	return one
+}
+
+// Forget drops programs that have not been heard of for long.
+func (purses *Purses) Forget() {
+	before := purses.clock.Now().Add(-memoryTime)
+	purses.mutex.Lock()
+	for program, one := range purses.purses {
+		one.counts.Lock()
+		if one.reserved == 0 && one.used.Before(before) {
+			delete(purses.purses, program)
+		}
+		one.counts.Unlock()
+	}
+	purses.mutex.Unlock()
+	purses.book.forget(before)
+}
+
+func (purse *purse) reserve(tokens int, now time.Time) bool {
+	purse.counts.Lock()
+	defer purse.counts.Unlock()
+	purse.used = now
+	if purse.taken-purse.spent-purse.reserved < tokens {
+		return false
+	}
+	purse.reserved += tokens
+	return true
+}
+
+func (purse *purse) free() int {
+	purse.counts.Lock()
+	defer purse.counts.Unlock()
+	return purse.taken - purse.spent - purse.reserved
+}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -21,6 +21,9 @@
 
 // Daemon runs an entry host until it is told to stop.
 func Daemon(arguments []string, stdout, stderr io.Writer) int {
+	if len(arguments) > 0 && arguments[0] == gatewayCommand {
+		return Gateway(stdout, stderr)
+	}
 	settings, err := daemon.Parse(arguments)
 	if err != nil {
 		return usage(err, stdout, stderr)
--- /dev/null
+++ b/internal/gateway/configuration.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/route"
+	"github.com/godwitspread/godwitspread/internal/store"
+	"github.com/godwitspread/godwitspread/platform"
+)
+
+// configuration is the version in force on this host.
+type configuration struct {
+	clock     clockwork.Clock
+	logger    log.Interface
+	tolerance time.Duration // age up to which the version counts as current
+	table     atomic.Pointer[route.Table]
+	follower  *store.Follower
+}
+
+// configurationWait is the long poll of the configuration; a silent connection
+// shows after it.
+const configurationWait = 3 * time.Second
+
+func newConfiguration(settings platform.Settings, reading store.Store, clock clockwork.Clock, logger log.Interface) *configuration {
+	one := &configuration{clock: clock, logger: logger, tolerance: settings.Bounds.Configuration + configurationWait}
+	one.follower = &store.Follower{
+		Store: reading, Clock: clock, Logger: logger, Topic: platform.OperatorTopic, Wait: configurationWait, Apply: one.apply,
+	}
+	return one
+}
+
+// expect notes that another host has a version in force.
+func (configuration *configuration) expect(version int64) {
+	if table := configuration.table.Load(); version > 0 && (table == nil || table.Version() < version) {
+		configuration.follower.Refresh()
+	}
+}
+
+// Table implements front.Configuration.
+func (configuration *configuration) Table() *route.Table { return configuration.table.Load() }
+
+// Current implements front.Configuration.
+func (configuration *configuration) Current() bool {
+	return configuration.clock.Since(configuration.follower.Confirmed()) <= configuration.tolerance
+}
+
+// apply takes the operator's records. An older version never replaces a later
+// one.
+func (configuration *configuration) apply(records []store.Record, _ bool) {
+	for _, record := range records {
+		if record.Key != platform.ConfigurationKey || record.Dropped() {
+			continue
+		}
+		table, err := platform.DecodeConfiguration(record.Value)
+		if err != nil {
+			configuration.logger.WithError(err).Error("configuration cannot be read; keeping the one in force")
+			continue
+		}
+		if current := configuration.table.Load(); current != nil && current.Version() >= table.Version() {
+			continue
+		}
+		configuration.table.Store(table)
+		configuration.logger.WithField("version", table.Version()).Info("configuration in force")
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,272 @@
+// Package gateway runs an entry host on the users' platform: it follows the
+// store, serves callers, and drains at a planned stop.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gin-gonic/gin"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"github.com/godwitspread/godwitspread/internal/budget"
+	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/front"
+	"github.com/godwitspread/godwitspread/internal/history"
+	"github.com/godwitspread/godwitspread/internal/mesh"
+	"github.com/godwitspread/godwitspread/internal/metric"
+	"github.com/godwitspread/godwitspread/internal/outbound"
+	"github.com/godwitspread/godwitspread/internal/peer"
+	"github.com/godwitspread/godwitspread/internal/placement"
+	"github.com/godwitspread/godwitspread/internal/quota"
+	"github.com/godwitspread/godwitspread/internal/store"
+	"github.com/godwitspread/godwitspread/platform"
+)
+
+const (
+	hostsWait        = 10 * time.Second
+	longestRetention = time.Minute
+	historyShare     = 0.2 // of the host's memory that turns may take
+	tidyInterval     = 2 * time.Second
+	targetInterval   = 300 * time.Millisecond  // between reads of the targets' entries; well inside the time to stop using a leaving one
+	memoryShare      = 0.7                     // of the host's memory that the heap may take
+	balancerLag      = 2500 * time.Millisecond // two missed questions, a second apart, take a host out of rotation
+	stopMargin       = time.Second             // kept back from the grace period for the end of the process
+)
+
+// Gateway is an entry host.
+type Gateway struct {
+	settings      platform.Settings
+	clock         clockwork.Clock
+	logger        log.Interface
+	metrics       *metric.Metrics
+	store         *store.Failover
+	direct        *platform.Store
+	writer        *store.Writer
+	limiter       *quota.Limiter
+	purses        *budget.Purses
+	histories     *history.Histories
+	mesh          *mesh.Mesh
+	transport     *peer.Transport
+	board         *placement.Board
+	pool          *outbound.Pool
+	configuration *configuration
+	targets       *targets
+	front         *front.Front
+	servers       []*http.Server
+	callers       *http.Server
+	stopping      atomic.Bool
+	ctx           context.Context
+	cancel        context.CancelFunc
+	own           mesh.Member
+}
+
+// Module provides a Gateway and runs it for the life of the application.
+func Module(settings platform.Settings, logger log.Interface) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.Supply(settings),
+		fx.Provide(
+			func() log.Interface { return logger },
+			clockwork.NewRealClock,
+			New,
+		),
+		fx.Invoke(func(lifecycle fx.Lifecycle, gateway *Gateway) {
+			lifecycle.Append(fx.Hook{OnStart: gateway.Start, OnStop: gateway.Stop})
+		}),
+	)
+}
+
+// New returns a host that is not started yet.
+func New(settings platform.Settings, clock clockwork.Clock, logger log.Interface) *Gateway {
+	gateway := &Gateway{
+		settings: settings, clock: clock, logger: logger, metrics: metric.New(settings.Host, settings.DataCentre),
+		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre), pool: outbound.NewPool(clock),
+		limiter: quota.NewLimiter(),
+	}
+	gateway.ctx, gateway.cancel = context.WithCancel(context.Background())
+	gateway.own = mesh.Member{
+		Host: settings.Host, Incarnation: fmt.Sprintf("%s/%d.%s", settings.Host, clock.Now().UnixMilli(), rand.Text()[:4]),
+		Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)), DataCentre: settings.DataCentre,
+	}
+	gateway.mesh = mesh.New(gateway.own, clock, logger, gateway.report, gateway.hear)
+	gateway.store = store.NewFailover(gateway.direct, gateway.mesh.Relays, clock, logger)
+	gateway.writer = store.NewWriter(gateway.ctx, gateway.store, clock, logger, gateway.own.Incarnation)
+	partitions := settings.Store.Partitions
+	gateway.purses = budget.NewPurses(gateway.store, gateway.writer, clock, logger, gateway.own.Incarnation, partitions, gateway.mesh.Recall)
+	gateway.histories = history.New(history.Parts{
+		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Peers: gateway.mesh, Partitions: partitions,
+		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), CertainFrom: gateway.certainFrom(),
+	})
+	gateway.transport = peer.NewTransport(settings.Host, gateway.own.Incarnation, settings.PeerSecret, clock, gateway.mesh.Handler(mesh.Services{
+		Store: gateway.direct, Chain: gateway.histories.Chain, Hold: gateway.histories.Hold, Release: gateway.purses.Release,
+	}))
+	gateway.mesh.SetTransport(gateway.transport)
+	gateway.configuration = newConfiguration(settings, gateway.store, clock, logger)
+	gateway.targets = newTargets(clock, logger, gateway.board, gateway.store.Failed)
+	gateway.front = front.New(front.Parts{
+		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
+		Board: gateway.board, Pool: gateway.pool, Rates: gateway.limiter, Budgets: gateway.purses, Histories: gateway.histories,
+	})
+	return gateway
+}
+
+// certainFrom is when this host can tell that a turn does not exist: at once
+// if the whole system has just been started for the first time, and otherwise
+// when turns that were held by hosts lost meanwhile are over.
+func (gateway *Gateway) certainFrom() time.Time {
+	if gateway.settings.FirstStart {
+		return gateway.clock.Now()
+	}
+	return gateway.clock.Now().Add(longestRetention)
+}
+
+// report tells the other hosts this one's state.
+func (gateway *Gateway) report() mesh.Status {
+	status := mesh.Status{
+		StoreOK: gateway.store.Reached(), StoreFast: gateway.store.Fast(),
+		Load: gateway.board.Own(), Demand: gateway.limiter.Demand(gateway.clock.Now()),
+	}
+	if table := gateway.configuration.Table(); table != nil {
+		status.Version = table.Version()
+	}
+	return status
+}
+
+// hear takes another host's state.
+func (gateway *Gateway) hear(status mesh.Status) {
+	gateway.limiter.Hear(status.Member.Host, status.Demand, gateway.clock.Now())
+	gateway.board.SetOthers(gateway.mesh.Load())
+	gateway.configuration.expect(status.Version)
+}
+
+// Start listens and begins to follow the store.
+func (gateway *Gateway) Start(context.Context) error {
+	runtime.GOMAXPROCS(gateway.settings.Cores)
+	debug.SetMemoryLimit(int64(memoryShare * float64(gateway.settings.MemoryBytes)))
+	if err := gateway.transport.Listen(gateway.own.Address); err != nil {
+		return err
+	}
+	ctx := gateway.ctx
+	go gateway.configuration.follower.Run(ctx)
+	followers := []*store.Follower{
+		{Topic: platform.TargetTopic, Pause: targetInterval, Apply: gateway.targets.apply},
+		{Topic: mesh.Topic, Wait: hostsWait, Apply: gateway.mesh.Apply},
+	}
+	for _, follower := range followers {
+		follower.Store, follower.Clock, follower.Logger = gateway.store, gateway.clock, gateway.logger
+		go follower.Run(ctx)
+	}
+	go gateway.enter()
+	go gateway.mesh.Run(ctx)
+	go gateway.tidy(ctx)
+	gateway.callers = &http.Server{Handler: gateway.front, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	listeners := []struct {
+		name    string
+		address string
+		server  *http.Server
+	}{
+		{"callers", gateway.settings.CallerAddress, gateway.callers},
+		{"balancer", gateway.settings.ReadyAddress, &http.Server{Handler: gateway.readiness()}},
+		{"operators", fmt.Sprintf("%s:%d", gateway.settings.IP, gateway.settings.MetricsPort), &http.Server{Handler: gateway.operators()}},
+	}
+	for _, each := range listeners {
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return fmt.Errorf("listen for %s on %q: %w", each.name, each.address, err)
+		}
+		gateway.servers = append(gateway.servers, each.server)
+		go func() {
+			if err := each.server.Serve(listener); err != http.ErrServerClosed {
+				gateway.logger.WithError(err).WithField("listener", each.name).Error("listener ended")
+			}
+		}()
+	}
+	gateway.logger.WithFields(log.Fields{"host": gateway.settings.Host, "data_centre": gateway.settings.DataCentre, "incarnation": gateway.own.Incarnation}).Info("host started")
+	return nil
+}
+
+// enter writes this host's entry.
+func (gateway *Gateway) enter() {
+	value, err := codec.Marshal(gateway.own)
+	if err != nil {
+		gateway.logger.WithError(err).Error("entry of this host cannot be written")
+		return
+	}
+	if _, err := gateway.writer.Append(gateway.ctx, mesh.Topic, 0, store.Record{Key: gateway.own.Host, Value: value}); err != nil && gateway.ctx.Err() == nil {
+		gateway.logger.WithError(err).Error("entry of this host was not written")
+	}
+}
+
+// tidy drops what is no longer needed from memory.
+func (gateway *Gateway) tidy(ctx context.Context) {
+	ticker := gateway.clock.NewTicker(tidyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			gateway.purses.Forget()
+			known := make(map[string]bool)
+			for _, id := range gateway.board.IDs() {
+				known[id] = true
+			}
+			gateway.pool.Forget(func(id string) bool { return known[id] })
+		}
+	}
+}
+
+// ready reports whether the balancer should send callers here.
+func (gateway *Gateway) ready() bool {
+	return !gateway.stopping.Load() && gateway.configuration.Table() != nil && gateway.board.Len() > 0
+}
+
+func (gateway *Gateway) readiness() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.GET(platform.ReadyPath, func(ctx *gin.Context) {
+		if gateway.ready() {
+			ctx.Status(http.StatusOK)
+			return
+		}
+		ctx.Status(http.StatusServiceUnavailable)
+	})
+	return engine
+}
+
+func (gateway *Gateway) operators() http.Handler {
+	engine := gin.New()
+	engine.GET("/metrics", gin.WrapH(gateway.metrics.Handler()))
+	return engine
+}
+
+// Stop leaves the balancer's rotation, lets requests end, and closes.
+func (gateway *Gateway) Stop(context.Context) error {
+	begun := gateway.clock.Now()
+	gateway.stopping.Store(true)
+	gateway.front.Drain()
+	gateway.logger.WithField("active", gateway.front.Active()).Info("host is stopping")
+	gateway.clock.Sleep(min(balancerLag, gateway.settings.Bounds.Grace/2))
+	left := gateway.settings.Bounds.Grace - stopMargin - gateway.clock.Since(begun)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	err := gateway.callers.Shutdown(ctx)
+	gateway.cancel()
+	for _, server := range gateway.servers {
+		// Whoever is still connected has been told to leave.
+		_ = server.Close()
+	}
+	gateway.logger.WithField("active", gateway.front.Active()).Info("host stopped")
+	return err
+}
--- /dev/null
+++ b/internal/history/histories.go
@@ -0,0 +1,272 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/store"
+)
+
+// Topic holds the turns, and for each turn the root of its chain.
+const Topic = "keyed.turns"
+
+const (
+	rootPrefix   = "i/"                   // key of a turn's root: the turn's id follows
+	textPrefix   = "t/"                   // key of a turn: the root and the turn's id follow
+	replicaAfter = 150 * time.Millisecond // wait for the store before other hosts hold a turn; some dozen usual answers
+)
+
+// Peers are the other hosts as far as histories need them.
+type Peers interface {
+	// Find asks all hosts for the chain up to a turn. All is false if a host
+	// that may hold it gave no answer.
+	Find(ctx context.Context, workspace, id string) (turns []Turn, all bool)
+	// Hold has a turn kept by hosts until this host's data centre and another
+	// one hold it.
+	Hold(ctx context.Context, turn Turn) error
+}
+
+// Histories keeps turns in memory and in the store.
+type Histories struct {
+	store      store.Store
+	writer     *store.Writer
+	clock      clockwork.Clock
+	logger     log.Interface
+	peers      Peers
+	partitions int
+	archive    *archive
+	// certainFrom is when this host would have heard of every turn that is
+	// still kept, be it in the store or with other hosts.
+	certainFrom time.Time
+}
+
+// Parts are what histories work with.
+type Parts struct {
+	Store       store.Store
+	Writer      *store.Writer
+	Clock       clockwork.Clock
+	Logger      log.Interface
+	Peers       Peers
+	Partitions  int
+	MemoryBytes int
+	CertainFrom time.Time
+}
+
+// New returns histories.
+func New(parts Parts) *Histories {
+	return &Histories{
+		store: parts.Store, writer: parts.Writer, clock: parts.Clock, logger: parts.Logger, peers: parts.Peers,
+		partitions: parts.Partitions, archive: newArchive(parts.MemoryBytes), certainFrom: parts.CertainFrom,
+	}
+}
+
+func (histories *Histories) partOf(workspace string) int {
+	return int(xxhash.Sum64String(workspace) % uint64(histories.partitions))
+}
+
+// Keep makes a turn durable: in the store, or with another data centre while
+// the store does not answer.
+func (histories *Histories) Keep(ctx context.Context, turn Turn) error {
+	turn.Kept = histories.clock.Now().UnixMilli()
+	turn.Root = turn.ID
+	if previous, ok := histories.archive.get(turn.Previous); ok {
+		turn.Root = previous.Root
+	}
+	queued, err := histories.queue(turn)
+	if err != nil {
+		return err
+	}
+	timer := histories.clock.NewTimer(replicaAfter)
+	defer timer.Stop()
+	select {
+	case <-queued.Done():
+		if _, err := queued.Wait(ctx); err != nil {
+			return err
+		}
+	case <-timer.Chan():
+		if err := histories.replicate(ctx, turn, queued); err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	histories.archive.put(&turn, histories.clock.Now())
+	return nil
+}
+
+// replicate waits for the store or for another data centre, whichever is
+// first.
+func (histories *Histories) replicate(ctx context.Context, turn Turn, queued store.Queued) error {
+	held := make(chan error, 1)
+	go func() { held <- histories.peers.Hold(ctx, turn) }()
+	select {
+	case <-queued.Done():
+		_, err := queued.Wait(ctx)
+		return err
+	case err := <-held:
+		if err == nil {
+			histories.logger.WithFields(log.Fields{"turn": turn.ID}).Info("turn is held by another data centre until the store answers")
+			return nil
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	_, err := queued.Wait(ctx)
+	return err
+}
+
+func (histories *Histories) queue(turn Turn) (store.Queued, error) {
+	value, err := codec.Marshal(turn)
+	if err != nil {
+		return store.Queued{}, err
+	}
+	return histories.writer.Queue(Topic, histories.partOf(turn.Workspace),
+		store.Record{Key: textPrefix + turn.Root + "/" + turn.ID, Value: value},
+		store.Record{Key: rootPrefix + turn.ID, Value: []byte(turn.Root)})
+}
+
+// Hold keeps a turn for another host and writes it to the store as well.
+func (histories *Histories) Hold(turn Turn) error {
+	if _, err := histories.queue(turn); err != nil {
+		return err
+	}
+	histories.archive.put(&turn, histories.clock.Now())
+	return nil
+}
+
+// Chain returns the turns up to one as far as this host has them.
+func (histories *Histories) Chain(workspace, id string) []Turn {
+	turns, _ := histories.archive.chain(id)
+	var found []Turn
+	for _, turn := range turns {
+		if turn.Workspace == workspace {
+			found = append(found, *turn)
+		}
+	}
+	return found
+}
+
+// Input returns the texts of the chain that ends with a turn, oldest first.
+func (histories *Histories) Input(ctx context.Context, workspace, id string) ([]byte, error) {
+	turns, missing := histories.archive.chain(id)
+	if missing != "" {
+		var err error
+		if turns, err = histories.fetch(ctx, workspace, id); err != nil {
+			return nil, err
+		}
+	}
+	var input []byte
+	for _, turn := range turns {
+		if turn.Workspace != workspace {
+			return nil, ErrNoTurn
+		}
+		input = append(input, turn.Input...)
+		input = append(input, turn.Output...)
+	}
+	return input, nil
+}
+
+// fetch gathers a chain from other hosts and the store.
+func (histories *Histories) fetch(ctx context.Context, workspace, id string) ([]*Turn, error) {
+	begun := histories.clock.Now()
+	found, all := histories.peers.Find(ctx, workspace, id)
+	for index := range found {
+		histories.archive.put(&found[index], begun)
+	}
+	turns, missing := histories.archive.chain(id)
+	source := "host"
+	var err error
+	for tries := 0; missing != "" && tries < maxRoots; tries++ {
+		source = "store"
+		if err = histories.load(ctx, workspace, missing); err != nil {
+			break
+		}
+		turns, missing = histories.archive.chain(id)
+	}
+	entry := histories.logger.WithFields(log.Fields{
+		"turn": id, "workspace": workspace, "source": source, "turns": len(turns), "all_hosts_answered": all,
+		"elapsed_ms": histories.clock.Since(begun).Milliseconds(),
+	})
+	switch {
+	case missing == "" && err == nil:
+		entry.Info("history fetched")
+		return turns, nil
+	case err != nil && err != ErrNoTurn:
+		entry.WithError(err).Warn("history not reached")
+		return nil, err
+	case missing != id:
+		entry.WithField("missing", missing).Error("history has a gap")
+		return nil, fmt.Errorf("turn %q before %q is missing", missing, id)
+	case !all || histories.clock.Now().Before(histories.certainFrom):
+		entry.Info("turn not found, but other hosts may hold it")
+		return nil, fmt.Errorf("turn %q is not in the store, and it is not certain that no host holds it", id)
+	default:
+		entry.Info("turn does not exist")
+		return nil, ErrNoTurn
+	}
+}
+
+// maxRoots bounds the chains that one chain may continue.
+const maxRoots = 8
+
+// load brings the chain of a turn from the store into memory.
+func (histories *Histories) load(ctx context.Context, workspace, id string) error {
+	part := histories.partOf(workspace)
+	root, err := histories.rootOf(ctx, part, id)
+	if err != nil {
+		return err
+	}
+	prefix := textPrefix + root + "/"
+	after := prefix
+	now := histories.clock.Now()
+	for {
+		listing, err := histories.store.List(ctx, store.List{Topic: Topic, Part: part, After: after})
+		if err != nil {
+			return err
+		}
+		own := false
+		for _, record := range listing.Records {
+			after = record.Key
+			if len(record.Key) < len(prefix) || record.Key[:len(prefix)] != prefix {
+				continue
+			}
+			own = true
+			var turn Turn
+			if err := codec.Unmarshal(record.Value, &turn); err != nil {
+				return fmt.Errorf("decode turn %q: %w", record.Key, err)
+			}
+			histories.archive.put(&turn, now)
+		}
+		if !listing.More || !own {
+			return nil
+		}
+	}
+}
+
+// rootOf returns the first turn of the chain of a turn.
+func (histories *Histories) rootOf(ctx context.Context, part int, id string) (string, error) {
+	key := rootPrefix + id
+	listing, err := histories.store.List(ctx, store.List{Topic: Topic, Part: part, After: before(key)})
+	if err != nil {
+		return "", err
+	}
+	for _, record := range listing.Records {
+		if record.Key == key {
+			return string(record.Value), nil
+		}
+	}
+	return "", ErrNoTurn
+}
+
+// before returns a key that sorts before a key and after nearly all that are
+// less.
+func before(key string) string {
+	last := len(key) - 1
+	return key[:last] + string([]byte{key[last] - 1, '~'})
+}
--- /dev/null
+++ b/internal/placement/board.go
@@ -0,0 +1,256 @@
+// Package placement chooses a target for a request from what this host knows
+// of the targets' load. It does no input or output.
+package placement
+
+import (
+	"sync"
+	"time"
+)
+
+// Target is a process that runs requests.
+type Target struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int // requests that it runs at once
+	Draining   bool
+	Cold       time.Duration // how much longer it is slow after its start
+	Born       int64
+}
+
+// Request is what placement knows of a request.
+type Request struct {
+	Service  string
+	Affinity string // requests with the same value gain from the same target
+	Tried    []string
+}
+
+// Board keeps the targets with their load.
+type Board struct {
+	dataCentre string
+
+	mutex   sync.Mutex
+	targets map[string]*seat
+	groups  map[string][]*seat // by service
+	homes   map[string]home    // last target by affinity
+}
+
+type seat struct {
+	target     Target
+	own        int // requests of this host under way
+	others     int // requests of other hosts under way, as last told
+	failures   int // in a row
+	avoidUntil time.Time
+	pace       float64 // moving average of time against the service's, 1 is average
+}
+
+type home struct {
+	id   string
+	used time.Time
+}
+
+const (
+	homeCapacity  = 20000                  // affinities remembered
+	homeTime      = 60 * time.Second       // caches of targets rarely keep prompts for longer
+	avoidInterval = 500 * time.Millisecond // pause after a failure, doubled with each further one
+	avoidCeiling  = 8 * time.Second
+)
+
+// NewBoard returns a board for a host in a data centre.
+func NewBoard(dataCentre string) *Board {
+	return &Board{dataCentre: dataCentre, targets: make(map[string]*seat), groups: make(map[string][]*seat), homes: make(map[string]home)}
+}
+
+// Put adds a target or replaces what is known of it. It reports a change of
+// state.
+func (board *Board) Put(target Target) bool {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if existing, ok := board.targets[target.ID]; ok {
+		changed := existing.target != target
+		moved := existing.target.Service != target.Service
+		existing.target = target
+		if moved {
+			board.regroup()
+		}
+		return changed
+	}
+	board.targets[target.ID] = &seat{target: target, pace: 1}
+	board.regroup()
+	return true
+}
+
+// Remove forgets a target. Requests under way there go on.
+func (board *Board) Remove(id string) bool {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if _, ok := board.targets[id]; !ok {
+		return false
+	}
+	delete(board.targets, id)
+	board.regroup()
+	return true
+}
+
+func (board *Board) regroup() {
+	board.groups = make(map[string][]*seat)
+	for _, seat := range board.targets {
+		board.groups[seat.target.Service] = append(board.groups[seat.target.Service], seat)
+	}
+}
+
+// Len returns the number of targets.
+func (board *Board) Len() int {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	return len(board.targets)
+}
+
+// IDs returns the ids of all targets.
+func (board *Board) IDs() []string {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	ids := make([]string, 0, len(board.targets))
+	for id := range board.targets {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Weights of the cost of a target. A full target costs a whole waiting turn.
+const (
+	awayCost   = 0.15 // another data centre: about half a millisecond each way against turns of some hundred
+	homeGain   = 0.6  // a kept prompt spares its prefill
+	queueCost  = 4.0  // each request beyond the slots waits for another to end
+	avoidCost  = 50.0
+	coldFactor = 0.5
+)
+
+// Choose returns the target with the lowest cost and counts the request as
+// under way there. The caller must call Done with the id.
+func (board *Board) Choose(request Request, now time.Time) (Target, bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	var best *seat
+	lowest := 0.0
+	preferred := board.homes[request.Affinity].id
+	for _, seat := range board.groups[request.Service] {
+		if seat.target.Draining || contains(request.Tried, seat.target.ID) {
+			continue
+		}
+		cost := seat.cost(board.dataCentre, now)
+		if request.Affinity != "" && seat.target.ID == preferred {
+			cost -= homeGain
+		}
+		if best == nil || cost < lowest || cost == lowest && seat.target.ID < best.target.ID {
+			best, lowest = seat, cost
+		}
+	}
+	if best == nil {
+		return Target{}, false
+	}
+	best.own++
+	if request.Affinity != "" {
+		board.settle(request.Affinity, best.target.ID, now)
+	}
+	return best.target, true
+}
+
+func (seat *seat) cost(dataCentre string, now time.Time) float64 {
+	load := float64(seat.own + seat.others)
+	slots := float64(max(1, seat.target.Slots))
+	cost := seat.pace * (load + 1) / slots
+	if load >= slots {
+		cost += queueCost * (load - slots + 1) / slots
+	}
+	if seat.target.DataCentre != dataCentre {
+		cost += awayCost
+	}
+	if seat.target.Cold > 0 {
+		cost *= 1 + coldFactor
+	}
+	if now.Before(seat.avoidUntil) {
+		cost += avoidCost
+	}
+	return cost
+}
+
+func (board *Board) settle(affinity, id string, now time.Time) {
+	if len(board.homes) >= homeCapacity {
+		for key, home := range board.homes {
+			if now.Sub(home.used) > homeTime {
+				delete(board.homes, key)
+			}
+		}
+		if len(board.homes) >= homeCapacity {
+			clear(board.homes)
+		}
+	}
+	board.homes[affinity] = home{id: id, used: now}
+}
+
+// Outcome is how a request ended at a target.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Served Outcome = iota
+	Refused
+	Failed
+	Abandoned
+)
+
+// Done ends a request at a target.
+func (board *Board) Done(id string, outcome Outcome, now time.Time) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	seat, ok := board.targets[id]
+	if !ok {
+		return
+	}
+	seat.own = max(0, seat.own-1)
+	switch outcome {
+	case Served:
+		seat.failures = 0
+		seat.avoidUntil = time.Time{}
+	case Refused, Failed:
+		seat.failures++
+		pause := avoidInterval << min(seat.failures-1, 5)
+		if outcome == Refused {
+			pause = avoidInterval / 5
+		}
+		seat.avoidUntil = now.Add(min(pause, avoidCeiling))
+	}
+}
+
+// SetOthers replaces what other hosts have under way, by target.
+func (board *Board) SetOthers(load map[string]int) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	for id, seat := range board.targets {
+		seat.others = load[id]
+	}
+}
+
+// Own returns the requests of this host under way, by target.
+func (board *Board) Own() map[string]int {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	load := make(map[string]int)
+	for id, seat := range board.targets {
+		if seat.own > 0 {
+			load[id] = seat.own
+		}
+	}
+	return load
+}
+
+func contains(list []string, value string) bool {
+	for _, each := range list {
+		if each == value {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/store/failover.go
@@ -0,0 +1,219 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	probeInterval = 500 * time.Millisecond  // between tries of a path that failed
+	directLimit   = 1200 * time.Millisecond // for one call on the direct path
+	hedgeAfter    = 120 * time.Millisecond  // thirty usual answers; then a faster path is tried as well
+	goodTime      = 2 * time.Second         // a path that has answered within it counts as reached
+)
+
+// Path is another host's way to the store.
+type Path struct {
+	Store Store
+	Fast  bool // it has answered quickly of late
+}
+
+// Failover calls the store directly, and through another host while that
+// fails.
+type Failover struct {
+	direct Store
+	relays func() []Path
+	clock  clockwork.Clock
+	logger log.Interface
+
+	mutex    sync.Mutex
+	bad      bool
+	probed   time.Time
+	answered time.Time
+	failed   time.Time
+	latency  time.Duration // moving average of direct answers
+}
+
+// NewFailover returns a store with two ways. Relays lists the hosts that reach
+// the store, the best first.
+func NewFailover(direct Store, relays func() []Path, clock clockwork.Clock, logger log.Interface) *Failover {
+	return &Failover{direct: direct, relays: relays, clock: clock, logger: logger}
+}
+
+// Reached reports whether the direct path has answered lately.
+func (failover *Failover) Reached() bool {
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	return !failover.bad && failover.clock.Since(failover.answered) < goodTime
+}
+
+// Fast reports whether direct answers come as quickly as usual.
+func (failover *Failover) Fast() bool {
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	return failover.latency < hedgeAfter/2
+}
+
+// Failed returns when the direct path last failed.
+func (failover *Failover) Failed() time.Time {
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	return failover.failed
+}
+
+// Append implements Store.
+func (failover *Failover) Append(ctx context.Context, batch Append) (int64, error) {
+	return attempt(ctx, failover, 0, func(ctx context.Context, store Store) (int64, error) { return store.Append(ctx, batch) })
+}
+
+// Read implements Store.
+func (failover *Failover) Read(ctx context.Context, read Read) (Page, error) {
+	return attempt(ctx, failover, read.Wait, func(ctx context.Context, store Store) (Page, error) { return store.Read(ctx, read) })
+}
+
+// List implements Store.
+func (failover *Failover) List(ctx context.Context, list List) (Listing, error) {
+	return attempt(ctx, failover, 0, func(ctx context.Context, store Store) (Listing, error) { return store.List(ctx, list) })
+}
+
+// result is the end of one try.
+type result[T any] struct {
+	value  T
+	err    error
+	direct bool
+}
+
+// attempt tries the paths until one answers. The next path is tried when one
+// fails, or when it stays silent while another one is fast.
+func attempt[T any](ctx context.Context, failover *Failover, wait time.Duration, call func(context.Context, Store) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result[T], maxPaths)
+	paths := failover.paths()
+	started, running := 0, 0
+	next := func() {
+		path := paths[started]
+		started++
+		running++
+		go func() {
+			value, err := try(ctx, failover, path, wait, call)
+			results <- result[T]{value, err, path == nil}
+		}()
+	}
+	next()
+	hedge := failover.clock.NewTimer(hedgeAfter + wait)
+	defer hedge.Stop()
+	var lastErr error
+	for running > 0 || started < len(paths) {
+		if running == 0 {
+			next()
+		}
+		select {
+		case one := <-results:
+			running--
+			if Answered(one.err) {
+				return one.value, one.err
+			}
+			lastErr = one.err
+		case <-hedge.Chan():
+			if started < len(paths) && failover.mayHedge(paths[started]) {
+				next()
+			}
+		case <-ctx.Done():
+			var none T
+			return none, errors.Join(ctx.Err(), lastErr)
+		}
+	}
+	var none T
+	return none, lastErr
+}
+
+// maxPaths bounds the ways that one call tries.
+const maxPaths = 3
+
+// paths returns the ways to try in order; nil is the direct one.
+func (failover *Failover) paths() []*Path {
+	relays := failover.relays()
+	paths := make([]*Path, 0, maxPaths)
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	now := failover.clock.Now()
+	directFirst := !failover.bad || now.Sub(failover.probed) >= probeInterval && len(relays) == 0
+	if directFirst {
+		paths = append(paths, nil)
+	}
+	for index := range relays {
+		if len(paths) < maxPaths-1 || directFirst && len(paths) < maxPaths {
+			paths = append(paths, &relays[index])
+		}
+	}
+	if !directFirst {
+		paths = append(paths, nil)
+		if now.Sub(failover.probed) >= probeInterval {
+			failover.probed = now
+			go failover.probe()
+		}
+	}
+	return paths
+}
+
+// probe asks whether a failed direct path answers again.
+func (failover *Failover) probe() {
+	ctx, cancel := context.WithTimeout(context.Background(), directLimit)
+	defer cancel()
+	begun := failover.clock.Now()
+	_, err := failover.direct.List(ctx, List{Topic: probeTopic})
+	failover.note(begun, err)
+}
+
+// probeTopic is a topic with little in it.
+const probeTopic = "keyed.hosts"
+
+func (failover *Failover) mayHedge(path *Path) bool { return path == nil || path.Fast }
+
+func try[T any](ctx context.Context, failover *Failover, path *Path, wait time.Duration, call func(context.Context, Store) (T, error)) (T, error) {
+	if path != nil {
+		return call(ctx, path.Store)
+	}
+	limited, cancel := context.WithTimeout(ctx, directLimit+wait)
+	defer cancel()
+	begun := failover.clock.Now()
+	value, err := call(limited, failover.direct)
+	switch {
+	case wait > 0 && err == nil:
+		// How long a poll took says nothing about the path.
+		failover.note(failover.clock.Now(), nil)
+	case ctx.Err() != nil && failover.clock.Since(begun) < hedgeAfter:
+		// The caller left early; the path is not to blame.
+	default:
+		failover.note(begun, err)
+	}
+	return value, err
+}
+
+// note records how a direct call that began at a time ended.
+func (failover *Failover) note(begun time.Time, err error) {
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	now := failover.clock.Now()
+	if Answered(err) {
+		failover.answered = now
+		failover.latency += (now.Sub(begun) - failover.latency) / 8
+		if failover.bad {
+			failover.bad = false
+			failover.logger.Info("direct path to the store works again")
+		}
+		return
+	}
+	failover.failed = now
+	failover.probed = now
+	if !failover.bad {
+		failover.bad = true
+		failover.logger.WithError(err).Warn("direct path to the store failed; calling through other hosts")
+	}
+}
