Count budgets at one host a program and rates at one host a workspace

Cause: callers open new connections often, so the turns of one program come through every host of a data centre; parts of a budget and of a rate that lie with single hosts ran out unspent (402 for programs with budget left, 429 in a workspace below its rate).

--- /dev/null
+++ b/internal/budget/homes.go
@@ -0,0 +1,142 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/metric"
+)
+
+// Homes finds the host that counts a program's budget, so that the turns of a
+// program that come through many hosts share one part of it. Hosts that
+// disagree about it count apart, which is safe.
+type Homes interface {
+	Home(program string) (address string, self bool)
+	Reserve(ctx context.Context, address string, question Question) (Answer, error)
+	Settle(address string, settlement Settlement)
+}
+
+// Question asks the home of a program for tokens.
+type Question struct {
+	Program string        `msgpack:"p"`
+	Budget  int           `msgpack:"b"`
+	Tokens  int           `msgpack:"t"`
+	Expires time.Duration `msgpack:"e"` // an unsettled reservation counts as spent after it
+}
+
+// Answer is the home's answer.
+type Answer struct {
+	ID    string `msgpack:"i,omitempty"`
+	Spent bool   `msgpack:"s,omitempty"` // the budget does not hold the tokens
+}
+
+// Settlement ends a reservation.
+type Settlement struct {
+	Program string `msgpack:"p"`
+	ID      string `msgpack:"i"`
+	Used    int    `msgpack:"u,omitempty"`
+}
+
+const expiryMargin = 2 * time.Second // for a settlement on its way
+
+// Counter reserves at the home of each program, or here if the home does not
+// answer.
+type Counter struct {
+	purses  *Purses
+	homes   Homes
+	clock   clockwork.Clock
+	metrics *metric.Metrics
+
+	mutex  sync.Mutex
+	serial int64
+	open   map[string]held // reservations of other hosts
+}
+
+type held struct {
+	reservation *Reservation
+	expires     time.Time
+}
+
+// NewCounter returns a counter over purses.
+func NewCounter(purses *Purses, homes Homes, clock clockwork.Clock, metrics *metric.Metrics) *Counter {
+	return &Counter{purses: purses, homes: homes, clock: clock, metrics: metrics, open: make(map[string]held)}
+}
+
+// Reserve takes tokens for a turn that ends within a time. Settle must be
+// called with what the turn has generated.
+func (counter *Counter) Reserve(ctx context.Context, program string, budget, tokens int, limit time.Duration) (settle func(used int), err error) {
+	address, self := counter.homes.Home(program)
+	if !self {
+		answer, err := counter.homes.Reserve(ctx, address, Question{Program: program, Budget: budget, Tokens: tokens, Expires: limit})
+		switch {
+		case err == nil && answer.Spent:
+			return nil, ErrSpent
+		case err == nil:
+			return func(used int) {
+				counter.homes.Settle(address, Settlement{Program: program, ID: answer.ID, Used: used})
+			}, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		counter.metrics.Retried("budget_home_lost")
+	}
+	reservation, err := counter.purses.Reserve(ctx, program, budget, tokens)
+	if err != nil {
+		return nil, err
+	}
+	return reservation.Settle, nil
+}
+
+// Serve answers another host.
+func (counter *Counter) Serve(ctx context.Context, question Question) (Answer, error) {
+	reservation, err := counter.purses.Reserve(ctx, question.Program, question.Budget, question.Tokens)
+	if errors.Is(err, ErrSpent) {
+		return Answer{Spent: true}, nil
+	}
+	if err != nil {
+		return Answer{}, err
+	}
+	counter.mutex.Lock()
+	defer counter.mutex.Unlock()
+	counter.serial++
+	id := strconv.FormatInt(counter.serial, 36)
+	counter.open[id] = held{reservation: reservation, expires: counter.clock.Now().Add(question.Expires + expiryMargin)}
+	return Answer{ID: id}, nil
+}
+
+// Settled ends a reservation of another host.
+func (counter *Counter) Settled(settlement Settlement) {
+	counter.mutex.Lock()
+	one, ok := counter.open[settlement.ID]
+	delete(counter.open, settlement.ID)
+	counter.mutex.Unlock()
+	if ok {
+		one.reservation.Settle(settlement.Used)
+	}
+}
+
+// Tidy counts reservations as spent whose host has not settled them in time,
+// and forgets programs that are over.
+func (counter *Counter) Tidy() {
+	now := counter.clock.Now()
+	counter.mutex.Lock()
+	var late []*Reservation
+	for id, one := range counter.open {
+		if now.After(one.expires) {
+			late = append(late, one.reservation)
+			delete(counter.open, id)
+		}
+	}
+	counter.mutex.Unlock()
+	for _, reservation := range late {
+		reservation.Settle(reservation.tokens)
+		counter.metrics.Count("reservations_expired")
+	}
+	counter.purses.Forget()
+}
--- a/internal/budget/purses.go
+++ b/internal/budget/purses.go
@@ -17,13 +17,14 @@
 var ErrSpent = errors.New("budget of the program is spent")
 
 const (
-	sliceShare = 0.5             // of a budget that a host takes at once: enough for most programs, and a lost host leaves the other half
+	sliceShare = 0.34            // of a budget that a host takes at once: a host that is lost leaves the rest
 	memoryTime = 3 * time.Minute // longer than any route remembers a program
 )
 
 // Recaller asks another host to return what it holds of a budget and has not
-// spent. It reports whether that host is known to be lost for good.
-type Recaller func(ctx context.Context, holder, program string) (lost bool, err error)
+// spent, and returns how much that was. Lost tells that the host is gone for
+// good.
+type Recaller func(ctx context.Context, holder, program string) (returned int, lost bool, err error)
 
 // Purses holds this host's parts of budgets.
 type Purses struct {
@@ -92,30 +93,26 @@
 	if purse.reserve(tokens, purses.clock.Now()) {
 		return &Reservation{purse: purse, tokens: tokens}, nil
 	}
+	purses.logger.WithFields(purse.fields(program, tokens)).Info("budget does not hold one more turn")
 	return nil, ErrSpent
 }
 
 // fill takes more of the budget, and calls back what other hosts hold if that
 // is not enough.
 func (purses *Purses) fill(ctx context.Context, program string, purse *purse, tokens int) error {
-	if err := purses.take(ctx, program, purse, tokens); err != nil {
+	if err := purses.take(ctx, program, purse, tokens); err != nil || purse.free() >= tokens {
 		return err
 	}
-	if purse.free() >= tokens {
-		return nil
-	}
 	_, holders := purses.book.known(program)
-	recalled := false
+	recalled := 0
 	for _, holder := range holders {
-		lost, err := purses.recall(ctx, holder, program)
-		switch {
-		case err == nil:
-			recalled = true
-		case !lost:
+		returned, lost, err := purses.recall(ctx, holder, program)
+		if err != nil && !lost {
 			return fmt.Errorf("recall the part of host %q: %w", holder, err)
 		}
+		recalled += returned
 	}
-	if !recalled {
+	if recalled == 0 {
 		return nil
 	}
 	return purses.take(ctx, program, purse, tokens)
@@ -128,10 +125,6 @@
 		return nil
 	}
 	ask := max(missing, int(sliceShare*float64(purse.budget)))
-	if purse.taken > 0 {
-		// The first part was not enough; the rest goes in smaller ones.
-		ask = max(missing, 2*tokens)
-	}
 	held, err := purses.book.take(ctx, program, purse.budget, ask)
 	if err != nil {
 		return err
@@ -145,25 +138,23 @@
 
 // Release returns what this host holds of a program and has not spent. Another
 // host has asked for it.
-func (purses *Purses) Release(ctx context.Context, program string) error {
+func (purses *Purses) Release(ctx context.Context, program string) (int, error) {
 	purses.mutex.Lock()
 	one, ok := purses.purses[program]
 	purses.mutex.Unlock()
 	if !ok {
-		return nil
+		return 0, nil
 	}
 	one.counts.Lock()
-	free := one.taken - one.spent - one.reserved
+	free := max(0, one.taken-one.spent-one.reserved)
 	budget := one.budget
-	if free > 0 {
-		one.taken -= free
-	}
+	one.taken -= free
 	one.counts.Unlock()
-	if free <= 0 {
-		return nil
+	if free == 0 {
+		return 0, nil
 	}
-	_, err := purses.book.take(ctx, program, budget, -free)
-	return err
+	held, err := purses.book.take(ctx, program, budget, -free)
+	return -held, err
 }
 
 func (purses *Purses) purse(program string, budget int) *purse {
@@ -208,3 +199,12 @@
 	defer purse.counts.Unlock()
 	return purse.taken - purse.spent - purse.reserved
 }
+
+// fields describe a purse in logs.
+func (purse *purse) fields(program string, tokens int) log.Fields {
+	purse.counts.Lock()
+	defer purse.counts.Unlock()
+	return log.Fields{
+		"program": program, "budget": purse.budget, "tokens": tokens, "taken": purse.taken, "spent": purse.spent, "reserved": purse.reserved,
+	}
+}
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -46,9 +46,11 @@
 		return refused
 	}
 	if visit.workspace != nil {
-		if admitted, retry := front.rates.Admit(visit.workspace.Name, quota.Limit{Rate: visit.workspace.Rate, Burst: visit.workspace.Burst}, visit.arrived); !admitted {
+		limit := quota.Limit{Rate: visit.workspace.Rate, Burst: visit.workspace.Burst}
+		if admitted, retry := front.rates.Admit(incoming.Context(), visit.workspace.Name, limit, decoded.Program, visit.route.Name, visit.route.Priority == 0); !admitted {
 			return refuse(http.StatusTooManyRequests, "rate_exceeded").after(retry)
 		}
+		visit.charged = true
 	}
 	return nil
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,7 +11,6 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/outbound"
@@ -33,18 +32,22 @@
 
 // Rates admits requests of workspaces.
 type Rates interface {
-	Admit(workspace string, limit quota.Limit, now time.Time) (admitted bool, retry time.Duration)
+	Admit(ctx context.Context, workspace string, limit quota.Limit, program, route string, urgent bool) (admitted bool, retry time.Duration)
+	// Refund gives back the token of a request that has not run.
+	Refund(workspace, program string)
 }
 
 // Budgets admits turns of programs.
 type Budgets interface {
-	Reserve(ctx context.Context, program string, budget, tokens int) (*budget.Reservation, error)
+	// Reserve takes tokens for a turn that ends within a time. Settle must be
+	// called with what the turn has generated.
+	Reserve(ctx context.Context, program string, budget, tokens int, limit time.Duration) (settle func(used int), err error)
 }
 
 // Histories keeps turns and assembles what a turn continues.
 type Histories interface {
-	Input(ctx context.Context, workspace, previous string) ([]byte, error)
-	Keep(ctx context.Context, turn history.Turn) error
+	Input(ctx context.Context, program, workspace, previous string) ([]byte, error)
+	Keep(ctx context.Context, program string, turn history.Turn) error
 }
 
 // Front is the handler of callers' requests.
@@ -101,8 +104,9 @@
 	deadline  time.Time
 	body      []byte
 	tried     []string
-	runs      int // targets that may have run the request
-	reserved  *budget.Reservation
+	runs      int            // targets that may have run the request
+	charged   bool           // a token of the workspace's rate was taken
+	settle    func(used int) // ends the reservation of a turn
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -41,6 +41,9 @@
 // reject answers with a refusal.
 func (visit *visit) reject(refused *rejection) {
 	front := visit.front
+	if visit.charged && visit.runs == 0 {
+		front.rates.Refund(visit.workspace.Name, visit.request.Program)
+	}
 	front.metrics.Refused(refusal.Code(refused.reason))
 	header := visit.writer.Header()
 	if visit.request != nil {
@@ -74,6 +77,9 @@
 			fields["program"] = visit.request.Program
 		}
 	}
+	if visit.workspace != nil {
+		fields["workspace"] = visit.workspace.Name
+	}
 	if visit.route != nil {
 		fields["route"] = visit.route.Name
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -41,8 +41,8 @@
 	}
 	relayed := &relayed{visit: visit, lastEvent: visit.request.LastEvent, keeps: visit.route.KeepsHistory}
 	defer func() {
-		if visit.reserved != nil {
-			visit.reserved.Settle(relayed.events * visit.eventTokens())
+		if visit.settle != nil {
+			visit.settle(relayed.events * visit.eventTokens())
 		}
 	}()
 	for len(visit.tried) < maxSends {
@@ -155,7 +155,7 @@
 			ID: visit.request.Attempt, Previous: visit.request.PreviousTurn, Workspace: visit.workspaceName(),
 			Input: visit.request.Body, Output: relayed.output.Bytes(), Retention: visit.route.Retention,
 		}
-		if err := visit.front.histories.Keep(ctx, turn); err != nil {
+		if err := visit.front.histories.Keep(ctx, visit.request.Program, turn); err != nil {
 			return relayed.broken(refuse(http.StatusServiceUnavailable, "history_not_durable").because(err))
 		}
 	}
@@ -239,7 +239,7 @@
 func (visit *visit) prepareTurn(ctx context.Context) *rejection {
 	front := visit.front
 	if visit.route.KeepsHistory && visit.request.PreviousTurn != "" {
-		earlier, err := front.histories.Input(ctx, visit.workspaceName(), visit.request.PreviousTurn)
+		earlier, err := front.histories.Input(ctx, visit.request.Program, visit.workspaceName(), visit.request.PreviousTurn)
 		switch {
 		case errors.Is(err, history.ErrNoTurn):
 			return refuse(http.StatusNotFound, "unknown_turn")
@@ -251,13 +251,13 @@
 	if visit.request.Program == "" || visit.request.Budget == 0 || visit.route.Retention == 0 {
 		return nil
 	}
-	reserved, err := front.budgets.Reserve(ctx, visit.request.Program, visit.request.Budget, visit.request.MaxTokens)
+	settle, err := front.budgets.Reserve(ctx, visit.request.Program, visit.request.Budget, visit.request.MaxTokens, visit.timeLeft())
 	switch {
 	case errors.Is(err, budget.ErrSpent):
 		return refuse(http.StatusPaymentRequired, "budget_spent")
 	case err != nil:
 		return refuse(http.StatusServiceUnavailable, "budget_unavailable").after(storePause).because(err)
 	}
-	visit.reserved = reserved
+	visit.settle = settle
 	return nil
 }
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -64,6 +64,6 @@
 			continue
 		}
 		configuration.table.Store(table)
-		configuration.logger.WithField("version", table.Version()).Info("configuration in force")
+		configuration.logger.WithFields(log.Fields{"version": table.Version(), "workspaces": len(table.Workspaces())}).Info("configuration in force")
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	writer        *store.Writer
 	limiter       *quota.Limiter
 	purses        *budget.Purses
+	counter       *budget.Counter
 	histories     *history.Histories
 	mesh          *mesh.Mesh
 	transport     *peer.Transport
@@ -92,7 +93,6 @@
 	gateway := &Gateway{
 		settings: settings, clock: clock, logger: logger, metrics: metric.New(settings.Host, settings.DataCentre),
 		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre), pool: outbound.NewPool(clock),
-		limiter: quota.NewLimiter(),
 	}
 	gateway.ctx, gateway.cancel = context.WithCancel(context.Background())
 	gateway.own = mesh.Member{
@@ -104,19 +104,22 @@
 	gateway.writer = store.NewWriter(gateway.ctx, gateway.store, clock, logger, gateway.own.Incarnation)
 	partitions := settings.Store.Partitions
 	gateway.purses = budget.NewPurses(gateway.store, gateway.writer, clock, logger, gateway.own.Incarnation, partitions, gateway.mesh.Recall)
+	gateway.limiter = quota.NewLimiter(gateway.mesh, clock, gateway.metrics)
+	gateway.counter = budget.NewCounter(gateway.purses, gateway.mesh, clock, gateway.metrics)
 	gateway.histories = history.New(history.Parts{
 		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Peers: gateway.mesh, Partitions: partitions,
 		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), CertainFrom: gateway.certainFrom(),
 	})
 	gateway.transport = peer.NewTransport(settings.Host, gateway.own.Incarnation, settings.PeerSecret, clock, gateway.mesh.Handler(mesh.Services{
-		Store: gateway.direct, Chain: gateway.histories.Chain, Hold: gateway.histories.Hold, Release: gateway.purses.Release,
+		Store: gateway.direct, Chain: gateway.histories.Chain, Hold: gateway.histories.Hold, Push: gateway.histories.Gather,
+		Release: gateway.purses.Release, Reserve: gateway.counter.Serve, Settle: gateway.counter.Settled, Quota: gateway.limiter.Serve,
 	}))
 	gateway.mesh.SetTransport(gateway.transport)
 	gateway.configuration = newConfiguration(settings, gateway.store, clock, logger)
 	gateway.targets = newTargets(clock, logger, gateway.board, gateway.store.Failed)
 	gateway.front = front.New(front.Parts{
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
-		Board: gateway.board, Pool: gateway.pool, Rates: gateway.limiter, Budgets: gateway.purses, Histories: gateway.histories,
+		Board: gateway.board, Pool: gateway.pool, Rates: gateway.limiter, Budgets: gateway.counter, Histories: gateway.histories,
 	})
 	return gateway
 }
@@ -134,8 +137,8 @@
 // report tells the other hosts this one's state.
 func (gateway *Gateway) report() mesh.Status {
 	status := mesh.Status{
-		StoreOK: gateway.store.Reached(), StoreFast: gateway.store.Fast(),
-		Load: gateway.board.Own(), Demand: gateway.limiter.Demand(gateway.clock.Now()),
+		Stopping: gateway.stopping.Load(), StoreOK: gateway.store.Reached(), StoreFast: gateway.store.Fast(),
+		Load: gateway.board.Own(),
 	}
 	if table := gateway.configuration.Table(); table != nil {
 		status.Version = table.Version()
@@ -145,7 +148,6 @@
 
 // hear takes another host's state.
 func (gateway *Gateway) hear(status mesh.Status) {
-	gateway.limiter.Hear(status.Member.Host, status.Demand, gateway.clock.Now())
 	gateway.board.SetOthers(gateway.mesh.Load())
 	gateway.configuration.expect(status.Version)
 }
@@ -217,7 +219,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			gateway.purses.Forget()
+			gateway.counter.Tidy()
 			known := make(map[string]bool)
 			for _, id := range gateway.board.IDs() {
 				known[id] = true
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -24,9 +24,11 @@
 
 // Peers are the other hosts as far as histories need them.
 type Peers interface {
-	// Find asks all hosts for the chain up to a turn. All is false if a host
+	// Find asks the hosts for the chain up to a turn. All is false if a host
 	// that may hold it gave no answer.
-	Find(ctx context.Context, workspace, id string) (turns []Turn, all bool)
+	Find(ctx context.Context, program, workspace, id string) (turns []Turn, all bool)
+	// Push gives copies to the host that gathers a program's turns.
+	Push(program string, turns []Turn)
 	// Hold has a turn kept by hosts until this host's data centre and another
 	// one hold it.
 	Hold(ctx context.Context, turn Turn) error
@@ -72,7 +74,7 @@
 
 // Keep makes a turn durable: in the store, or with another data centre while
 // the store does not answer.
-func (histories *Histories) Keep(ctx context.Context, turn Turn) error {
+func (histories *Histories) Keep(ctx context.Context, program string, turn Turn) error {
 	turn.Kept = histories.clock.Now().UnixMilli()
 	turn.Root = turn.ID
 	if previous, ok := histories.archive.get(turn.Previous); ok {
@@ -97,6 +99,7 @@
 		return ctx.Err()
 	}
 	histories.archive.put(&turn, histories.clock.Now())
+	histories.peers.Push(program, []Turn{turn})
 	return nil
 }
 
@@ -131,6 +134,14 @@
 		store.Record{Key: rootPrefix + turn.ID, Value: []byte(turn.Root)})
 }
 
+// Gather keeps copies of turns that other hosts have made durable.
+func (histories *Histories) Gather(turns []Turn) {
+	now := histories.clock.Now()
+	for index := range turns {
+		histories.archive.put(&turns[index], now)
+	}
+}
+
 // Hold keeps a turn for another host and writes it to the store as well.
 func (histories *Histories) Hold(turn Turn) error {
 	if _, err := histories.queue(turn); err != nil {
@@ -153,11 +164,14 @@
 }
 
 // Input returns the texts of the chain that ends with a turn, oldest first.
-func (histories *Histories) Input(ctx context.Context, workspace, id string) ([]byte, error) {
+func (histories *Histories) Input(ctx context.Context, program, workspace, id string) ([]byte, error) {
+	if turn, ok := histories.archive.get(id); ok && turn.Workspace != workspace {
+		return nil, ErrNoTurn
+	}
 	turns, missing := histories.archive.chain(id)
 	if missing != "" {
 		var err error
-		if turns, err = histories.fetch(ctx, workspace, id); err != nil {
+		if turns, err = histories.fetch(ctx, program, workspace, id); err != nil {
 			return nil, err
 		}
 	}
@@ -173,12 +187,10 @@
 }
 
 // fetch gathers a chain from other hosts and the store.
-func (histories *Histories) fetch(ctx context.Context, workspace, id string) ([]*Turn, error) {
+func (histories *Histories) fetch(ctx context.Context, program, workspace, id string) ([]*Turn, error) {
 	begun := histories.clock.Now()
-	found, all := histories.peers.Find(ctx, workspace, id)
-	for index := range found {
-		histories.archive.put(&found[index], begun)
-	}
+	found, all := histories.peers.Find(ctx, program, workspace, id)
+	histories.Gather(found)
 	turns, missing := histories.archive.chain(id)
 	source := "host"
 	var err error
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -4,11 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/peer"
+	"github.com/godwitspread/godwitspread/internal/quota"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
 
@@ -21,6 +26,10 @@
 	methodFind    = "find"
 	methodHold    = "hold"
 	methodRelease = "release"
+	methodReserve = "reserve"
+	methodSettle  = "settle"
+	methodPush    = "push"
+	methodQuota   = "quota"
 )
 
 // Services are what this host does for others.
@@ -28,8 +37,11 @@
 	Store   store.Store // the direct path to the store
 	Chain   func(workspace, id string) []history.Turn
 	Hold    func(history.Turn) error
-	Release func(ctx context.Context, program string) error
-	Status  func() Status
+	Push    func([]history.Turn)
+	Release func(ctx context.Context, program string) (int, error)
+	Reserve func(ctx context.Context, question budget.Question) (budget.Answer, error)
+	Settle  func(settlement budget.Settlement)
+	Quota   func(question quota.Question) quota.Answer
 }
 
 type findQuestion struct {
@@ -45,6 +57,10 @@
 	Program string `msgpack:"p"`
 }
 
+type releaseAnswer struct {
+	Returned int `msgpack:"r,omitempty"`
+}
+
 type done struct{}
 
 // storeAnswer carries the store's answer over the mesh, errors of its own
@@ -123,9 +139,40 @@
 			if err := request.Decode(&question); err != nil {
 				return err
 			}
-			if err := services.Release(ctx, question.Program); err != nil {
+			returned, err := services.Release(ctx, question.Program)
+			if err != nil {
+				return err
+			}
+			return send(releaseAnswer{Returned: returned})
+		case methodReserve:
+			var question budget.Question
+			if err := request.Decode(&question); err != nil {
+				return err
+			}
+			answer, err := services.Reserve(ctx, question)
+			if err != nil {
+				return err
+			}
+			return send(answer)
+		case methodSettle:
+			var settlement budget.Settlement
+			if err := request.Decode(&settlement); err != nil {
+				return err
+			}
+			services.Settle(settlement)
+			return send(done{})
+		case methodQuota:
+			var question quota.Question
+			if err := request.Decode(&question); err != nil {
+				return err
+			}
+			return send(services.Quota(question))
+		case methodPush:
+			var turns findAnswer
+			if err := request.Decode(&turns); err != nil {
 				return err
 			}
+			services.Push(turns.Turns)
 			return send(done{})
 		default:
 			return fmt.Errorf("unknown method %q", request.Method)
@@ -164,34 +211,70 @@
 }
 
 const (
-	findTimeout = 350 * time.Millisecond // a live host answers within a few milliseconds
-	holdTimeout = 400 * time.Millisecond
+	findTimeout    = 350 * time.Millisecond // a live host answers within a few milliseconds
+	nearTimeout    = 60 * time.Millisecond
+	holdTimeout    = 400 * time.Millisecond
+	reserveTimeout = 300 * time.Millisecond // two calls of the store and a way there and back, with room
+	settleTries    = 3
+	quotaTimeout   = 120 * time.Millisecond
 )
 
-// Find implements history.Peers.
-func (mesh *Mesh) Find(ctx context.Context, workspace, id string) ([]history.Turn, bool) {
+// Find implements history.Peers. The host that gathers the program's turns in
+// this data centre is asked first.
+func (mesh *Mesh) Find(ctx context.Context, program, workspace, id string) ([]history.Turn, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
+	question := findQuestion{workspace, id}
+	near, self := mesh.homeOf(program, mesh.own.DataCentre)
+	if !self {
+		asking, cancel := context.WithTimeout(ctx, nearTimeout)
+		var answer findAnswer
+		err := mesh.transport.Ask(asking, near.Address, methodFind, question, &answer)
+		cancel()
+		if err == nil && len(answer.Turns) > 0 && answer.Turns[0].Previous == "" {
+			return answer.Turns, true
+		}
+	}
 	live := mesh.Live()
 	answers := make(chan []history.Turn, len(live))
-	var failed sync.Map
+	var failed atomic.Int64
 	for _, status := range live {
 		go func() {
 			var answer findAnswer
-			if err := mesh.transport.Ask(ctx, status.Member.Address, methodFind, findQuestion{workspace, id}, &answer); err != nil {
-				failed.Store(status.Member.Host, true)
+			if err := mesh.transport.Ask(ctx, status.Member.Address, methodFind, question, &answer); err != nil {
+				failed.Add(1)
 			}
 			answers <- answer.Turns
 		}()
 	}
+	var longest []history.Turn
 	for range live {
-		if turns := <-answers; len(turns) > 0 {
-			return turns, true
+		turns := <-answers
+		if len(turns) > len(longest) {
+			longest = turns
+		}
+		if len(longest) > 0 && longest[0].Previous == "" {
+			return longest, true
 		}
 	}
-	all := mesh.Silent() == 0
-	failed.Range(func(any, any) bool { all = false; return false })
-	return nil, all
+	return longest, failed.Load() == 0 && mesh.Silent() == 0
+}
+
+// Push implements history.Peers: the host that gathers the program's turns in
+// this data centre gets copies. It is no loss if they do not arrive.
+func (mesh *Mesh) Push(program string, turns []history.Turn) {
+	near, self := mesh.homeOf(program, mesh.own.DataCentre)
+	if self {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
+		defer cancel()
+		var answer done
+		if err := mesh.transport.Ask(ctx, near.Address, methodPush, findAnswer{Turns: turns}, &answer); err != nil {
+			mesh.logger.WithError(err).WithFields(log.Fields{"peer": near.Host, "program": program}).Debug("turns not passed to the gathering host")
+		}
+	}()
 }
 
 // Hold implements history.Peers: one host of another data centre keeps the
@@ -214,11 +297,90 @@
 }
 
 // Recall asks a host to return its part of a budget.
-func (mesh *Mesh) Recall(ctx context.Context, incarnation, program string) (lost bool, err error) {
+func (mesh *Mesh) Recall(ctx context.Context, incarnation, program string) (returned int, lost bool, err error) {
 	address, found, replaced := mesh.ByIncarnation(incarnation)
 	if !found {
-		return replaced, fmt.Errorf("host %q is not known", incarnation)
+		return 0, replaced, fmt.Errorf("host %q is not known", incarnation)
 	}
-	var answer done
-	return false, mesh.transport.Ask(ctx, address, methodRelease, releaseQuestion{program}, &answer)
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	var answer releaseAnswer
+	err = mesh.transport.Ask(ctx, address, methodRelease, releaseQuestion{program}, &answer)
+	return answer.Returned, false, err
+}
+
+// Reserve implements budget.Homes.
+func (mesh *Mesh) Reserve(ctx context.Context, address string, question budget.Question) (budget.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	var answer budget.Answer
+	err := mesh.transport.Ask(ctx, address, methodReserve, question, &answer)
+	return answer, err
+}
+
+// Settle implements budget.Homes.
+func (mesh *Mesh) Settle(address string, settlement budget.Settlement) {
+	go func() {
+		var answer done
+		for range settleTries {
+			ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
+			err := mesh.transport.Ask(ctx, address, methodSettle, settlement, &answer)
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+		mesh.logger.WithFields(log.Fields{"program": settlement.Program, "address": address}).Info("reservation not settled; its host counts it as spent")
+	}()
+}
+
+// AskQuota implements quota.Keepers.
+func (mesh *Mesh) AskQuota(ctx context.Context, address string, question quota.Question) (quota.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
+	defer cancel()
+	var answer quota.Answer
+	err := mesh.transport.Ask(ctx, address, methodQuota, question, &answer)
+	return answer, err
+}
+
+// Portion implements quota.Keepers.
+func (mesh *Mesh) Portion() (heard, alone float64) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	live := 1
+	for _, one := range mesh.members {
+		if mesh.clock.Since(one.heard) <= heardTime {
+			live++
+		}
+	}
+	all := float64(len(mesh.members) + 1)
+	return float64(live) / all, 1 / all
+}
+
+// Home implements budget.Homes: the host that counts a program's budget.
+func (mesh *Mesh) Home(program string) (address string, self bool) {
+	home, self := mesh.homeOf(program, "")
+	return home.Address, self
+}
+
+// homeOf returns the live host with the highest weight for a program, in a
+// data centre or in all.
+func (mesh *Mesh) homeOf(program, dataCentre string) (Member, bool) {
+	best, highest := mesh.own, weigh(mesh.own.Host, program)
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	now := mesh.clock.Now()
+	for _, one := range mesh.members {
+		if dataCentre != "" && one.DataCentre != dataCentre || now.Sub(one.heard) > heardTime || one.status.Stopping {
+			continue
+		}
+		if weight := weigh(one.Host, program); weight > highest {
+			best, highest = one.Member, weight
+		}
+	}
+	return best, best.Host == mesh.own.Host
+}
+
+func weigh(host, program string) uint64 {
+	return xxhash.Sum64String(host + "\x00" + program)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,14 +37,14 @@
 
 // Status is what hosts tell each other.
 type Status struct {
-	Member    Member             `msgpack:"m"`
-	Version   int64              `msgpack:"v,omitempty"` // of the configuration
-	StoreOK   bool               `msgpack:"s,omitempty"` // the store answered lately
-	StoreFast bool               `msgpack:"f,omitempty"` // and as quickly as usual
-	Load      map[string]int     `msgpack:"l,omitempty"` // requests under way by target
-	Demand    map[string]float64 `msgpack:"r,omitempty"` // requests a second by workspace
-	Known     []Member           `msgpack:"k,omitempty"`
-	Suspect   []string           `msgpack:"q,omitempty"` // digests of requests that crashed targets
+	Member    Member         `msgpack:"m"`
+	Version   int64          `msgpack:"v,omitempty"` // of the configuration
+	StoreOK   bool           `msgpack:"s,omitempty"` // the store answered lately
+	StoreFast bool           `msgpack:"f,omitempty"` // and as quickly as usual
+	Load      map[string]int `msgpack:"l,omitempty"` // requests under way by target
+	Stopping  bool           `msgpack:"x,omitempty"`
+	Known     []Member       `msgpack:"k,omitempty"`
+	Suspect   []string       `msgpack:"q,omitempty"` // digests of requests that crashed targets
 }
 
 // member is a host with what it last told.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -1,148 +1,157 @@
-// Package quota divides each workspace's rate over the hosts by their demand.
-// It does no input or output: hosts tell each other their demand elsewhere.
 package quota
 
 import (
+	"context"
 	"math"
 	"sync"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/metric"
 )
 
-// Limit is a workspace's rate over all hosts together.
-type Limit struct {
-	Rate  float64 // requests a second
-	Burst float64
+// Keepers finds the host that keeps a workspace's account.
+type Keepers interface {
+	Home(workspace string) (address string, self bool)
+	AskQuota(ctx context.Context, address string, question Question) (Answer, error)
+	// Portion is the part of all hosts that this host hears, itself included;
+	// alone is the part that one host is.
+	Portion() (heard, alone float64)
 }
 
 const (
-	demandTime  = 700 * time.Millisecond // time constant of the average of demand; a few exchanges between hosts
-	leastRetry  = 50 * time.Millisecond
-	mostRetry   = 2 * time.Second
-	idleForget  = time.Minute
-	peerHorizon = 30 * time.Second // a host unheard for longer no longer counts
+	stockTime   = 600 * time.Millisecond // a stock that is older is not used: its account has moved on
+	aheadTime   = 250 * time.Millisecond // demand that a stock is asked for
+	mostStock   = 24
+	mostUsed    = 64                     // programs reported with one question
+	demandTime  = 700 * time.Millisecond // time constant of the average of demand
+	accountIdle = time.Minute
 )
 
 // Limiter admits requests on one host.
 type Limiter struct {
-	mutex   sync.Mutex
-	buckets map[string]*bucket
-	peers   map[string]*peer
-}
+	keepers Keepers
+	clock   clockwork.Clock
+	metrics *metric.Metrics
 
-type bucket struct {
-	limit   Limit
-	tokens  float64
-	demand  float64 // requests a second that came here
-	updated time.Time
-	share   float64 // of the rate that is this host's
+	mutex    sync.Mutex
+	stocks   map[string]*stock
+	accounts map[string]*Account // kept here for all hosts
+	alone    map[string]*Account // used while the keeper is out of reach
 }
 
-type peer struct {
-	demand map[string]float64
-	heard  time.Time
+// stock is what this host holds of a workspace's tokens.
+type stock struct {
+	tokens  int
+	expires time.Time
+	used    map[string]int
+	demand  float64 // requests a second
+	updated time.Time
 }
 
-// NewLimiter returns a limiter that knows no other host.
-func NewLimiter() *Limiter {
-	return &Limiter{buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+// NewLimiter returns a limiter.
+func NewLimiter(keepers Keepers, clock clockwork.Clock, metrics *metric.Metrics) *Limiter {
+	return &Limiter{
+		keepers: keepers, clock: clock, metrics: metrics, stocks: make(map[string]*stock),
+		accounts: make(map[string]*Account), alone: make(map[string]*Account),
+	}
 }
 
-// Admit takes a token of a workspace. If there is none it returns when to try
-// again.
-func (limiter *Limiter) Admit(workspace string, limit Limit, now time.Time) (bool, time.Duration) {
+// Admit takes a token of a workspace for a request of a program. If there is
+// none it returns when to try again.
+func (limiter *Limiter) Admit(ctx context.Context, workspace string, limit Limit, program, route string, urgent bool) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
 	}
-	limiter.mutex.Lock()
-	defer limiter.mutex.Unlock()
-	one := limiter.bucket(workspace, limit, now)
-	one.demand += float64(time.Second) / float64(demandTime)
-	if one.tokens >= 1 {
-		one.tokens--
+	question, admitted := limiter.draw(workspace, limit, program, route)
+	if admitted {
 		return true, 0
 	}
-	rate := math.Max(limit.Rate*one.share, 0.5)
-	wait := time.Duration((1 - one.tokens) / rate * float64(time.Second))
-	return false, min(max(wait, leastRetry), mostRetry)
-}
-
-func (limiter *Limiter) bucket(workspace string, limit Limit, now time.Time) *bucket {
-	one, ok := limiter.buckets[workspace]
-	if !ok {
-		one = &bucket{limit: limit, updated: now}
-		limiter.buckets[workspace] = one
-		one.share = limiter.shareOf(workspace, one)
-		one.tokens = limit.Burst * one.share
+	question.Urgent = urgent
+	answer := limiter.ask(ctx, question)
+	if answer.Stock > 0 {
+		limiter.mutex.Lock()
+		one := limiter.stocks[workspace]
+		one.tokens, one.expires = answer.Stock, limiter.clock.Now().Add(stockTime)
+		limiter.mutex.Unlock()
 	}
-	one.limit = limit
-	limiter.advance(workspace, one, now)
-	return one
+	return answer.Admitted, answer.Retry
 }
 
-// advance refills a bucket and lets its demand fade.
-func (limiter *Limiter) advance(workspace string, one *bucket, now time.Time) {
-	passed := now.Sub(one.updated)
-	if passed <= 0 {
-		return
+// draw takes from the stock, or returns the question for the keeper.
+func (limiter *Limiter) draw(workspace string, limit Limit, program, route string) (Question, bool) {
+	now := limiter.clock.Now()
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	one, ok := limiter.stocks[workspace]
+	if !ok {
+		one = &stock{used: make(map[string]int), updated: now}
+		limiter.stocks[workspace] = one
 	}
+	one.demand = one.demand*math.Exp(-float64(now.Sub(one.updated))/float64(demandTime)) + 1/demandTime.Seconds()
 	one.updated = now
-	one.demand *= math.Exp(-float64(passed) / float64(demandTime))
-	one.share = limiter.shareOf(workspace, one)
-	one.tokens = math.Min(one.tokens+one.limit.Rate*one.share*passed.Seconds(), math.Max(one.limit.Burst*one.share, 1))
-}
-
-// shareOf returns this host's part of a rate: its demand and an equal part of
-// what nobody asks for, or the part of its demand if more is asked for than
-// there is.
-func (limiter *Limiter) shareOf(workspace string, one *bucket) float64 {
-	total := one.demand
-	for _, peer := range limiter.peers {
-		total += peer.demand[workspace]
+	if one.tokens > 0 && now.Before(one.expires) && len(one.used) < mostUsed {
+		one.tokens--
+		if program != "" {
+			one.used[program]++
+		}
+		return Question{}, true
 	}
-	hosts := float64(1 + len(limiter.peers))
-	spare := one.limit.Rate - total
-	if spare >= 0 {
-		return (one.demand + spare/hosts) / one.limit.Rate
+	one.tokens = 0
+	question := Question{
+		Workspace: workspace, Limit: limit, Program: program, Route: route, Used: one.used,
+		Want: min(mostStock, int(one.demand*aheadTime.Seconds())),
 	}
-	return one.demand / total
+	one.used = make(map[string]int)
+	return question, false
 }
 
-// Hear takes another host's demand by workspace.
-func (limiter *Limiter) Hear(host string, demand map[string]float64, now time.Time) {
+// Refund gives back the token of a request that has not run.
+func (limiter *Limiter) Refund(workspace, program string) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	limiter.peers[host] = &peer{demand: demand, heard: now}
+	one, ok := limiter.stocks[workspace]
+	if !ok {
+		return
+	}
+	if now := limiter.clock.Now(); one.tokens == 0 || now.After(one.expires) {
+		one.tokens, one.expires = 0, now.Add(stockTime)
+	}
+	one.tokens++
+	if one.used[program] > 0 {
+		one.used[program]--
+	}
 }
 
-// Expect counts a host that has not been heard yet.
-func (limiter *Limiter) Expect(host string, now time.Time) {
-	limiter.mutex.Lock()
-	defer limiter.mutex.Unlock()
-	if _, ok := limiter.peers[host]; !ok {
-		limiter.peers[host] = &peer{heard: now}
+func (limiter *Limiter) ask(ctx context.Context, question Question) Answer {
+	address, self := limiter.keepers.Home(question.Workspace)
+	if self {
+		return limiter.Serve(question)
+	}
+	answer, err := limiter.keepers.AskQuota(ctx, address, question)
+	if err == nil {
+		return answer
 	}
+	limiter.metrics.Retried("quota_keeper_lost")
+	_, alone := limiter.keepers.Portion()
+	return limiter.serve(limiter.alone, question, alone)
+}
+
+// Serve answers a question as the keeper of the workspace's account.
+func (limiter *Limiter) Serve(question Question) Answer {
+	heard, _ := limiter.keepers.Portion()
+	return limiter.serve(limiter.accounts, question, heard)
 }
 
-// Demand returns what this host is asked for, by workspace. It forgets
-// workspaces and hosts that have been silent for long.
-func (limiter *Limiter) Demand(now time.Time) map[string]float64 {
+func (limiter *Limiter) serve(accounts map[string]*Account, question Question, portion float64) Answer {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	for host, peer := range limiter.peers {
-		if now.Sub(peer.heard) > peerHorizon {
-			delete(limiter.peers, host)
-		}
-	}
-	demand := make(map[string]float64, len(limiter.buckets))
-	for workspace, one := range limiter.buckets {
-		if now.Sub(one.updated) > idleForget {
-			delete(limiter.buckets, workspace)
-			continue
-		}
-		limiter.advance(workspace, one, now)
-		if one.demand >= 0.05 {
-			demand[workspace] = math.Round(one.demand*100) / 100
-		}
+	now := limiter.clock.Now()
+	account, ok := accounts[question.Workspace]
+	if !ok || now.Sub(account.updated) > accountIdle {
+		account = NewAccount(question.Limit, now)
+		accounts[question.Workspace] = account
 	}
-	return demand
+	return account.Serve(question, portion, now)
 }
