Credit parts of a budget when they are read back

The home's taking had been appended, but its caller gave up before it was read back, so the part belonged to nobody.

Change: entries are credited by the fold, once, whoever waits; reservations are named by the asking host, so that it can end one whose answer was lost.

Ruled out: lost records (the position log shows the entry); the recall (it returned what the purse held, which was nothing).

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -21,8 +21,7 @@
 type partition struct {
 	mutex  sync.Mutex
 	ledger *ledger
-	next   int64         // offset to read on from; negative before the first listing
-	own    map[int64]int // what holds of this host's entries, by offset
+	next   int64 // offset to read on from; negative before the first listing
 }
 
 // book reads and writes takings.
@@ -32,15 +31,19 @@
 	clock  clockwork.Clock
 	holder string
 	parts  []*partition
+	// credit is called once for each entry of this host when it is read back,
+	// whether or not somebody still waits for it.
+	credit func(program string, held int)
 
 	mutex  sync.Mutex
 	serial int64
+	open   map[int64]bool // entries of this host that have not been read back
 }
 
-func newBook(reading store.Store, writer *store.Writer, clock clockwork.Clock, holder string, partitions int) *book {
-	book := &book{store: reading, writer: writer, clock: clock, holder: holder}
+func newBook(reading store.Store, writer *store.Writer, clock clockwork.Clock, holder string, partitions int, credit func(program string, held int)) *book {
+	book := &book{store: reading, writer: writer, clock: clock, holder: holder, credit: credit, open: make(map[int64]bool)}
 	for range partitions {
-		book.parts = append(book.parts, &partition{ledger: newLedger(), next: -1, own: make(map[int64]int)})
+		book.parts = append(book.parts, &partition{ledger: newLedger(), next: -1})
 	}
 	return book
 }
@@ -49,37 +52,39 @@
 	return int(xxhash.Sum64String(program) % uint64(len(book.parts)))
 }
 
-// take writes an entry and returns how much of it holds.
-func (book *book) take(ctx context.Context, program string, budget, tokens int) (int, error) {
+// take writes an entry and reads it back.
+func (book *book) take(ctx context.Context, program string, budget, tokens int) error {
 	number := book.partOf(program)
-	value, err := codec.Marshal(entry{Program: program, Holder: book.holder, Budget: budget, Tokens: tokens, Written: book.clock.Now().UnixMilli()})
-	if err != nil {
-		return 0, err
-	}
 	book.mutex.Lock()
 	book.serial++
-	key := fmt.Sprintf("%s|%s|%d", program, book.holder, book.serial)
+	serial := book.serial
+	book.open[serial] = true
 	book.mutex.Unlock()
+	value, err := codec.Marshal(entry{
+		Program: program, Holder: book.holder, Budget: budget, Tokens: tokens, Written: book.clock.Now().UnixMilli(), Serial: serial,
+	})
+	if err != nil {
+		return err
+	}
+	key := fmt.Sprintf("%s|%s|%d", program, book.holder, serial)
 	offset, err := book.writer.Append(ctx, Topic, number, store.Record{Key: key, Value: value})
 	if err != nil {
-		return 0, err
+		return err
 	}
-	return book.held(ctx, number, offset)
+	return book.readTo(ctx, number, offset)
 }
 
-// held reads up to an own entry and returns how much of it holds.
-func (book *book) held(ctx context.Context, number int, offset int64) (int, error) {
+// readTo reads up to an own entry.
+func (book *book) readTo(ctx context.Context, number int, offset int64) error {
 	part := book.parts[number]
 	part.mutex.Lock()
 	defer part.mutex.Unlock()
 	for part.next <= offset {
 		if err := book.read(ctx, number, part, offset); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	held := part.own[offset]
-	delete(part.own, offset)
-	return held, nil
+	return nil
 }
 
 // read brings a partition up to date. The caller holds its mutex.
@@ -95,24 +100,11 @@
 	if err != nil {
 		return err
 	}
-	for _, record := range page.Records {
-		part.next = record.Offset + 1
-		if record.Dropped() {
-			continue
-		}
-		var each entry
-		if err := codec.Unmarshal(record.Value, &each); err != nil {
-			return fmt.Errorf("decode taking at offset %d: %w", record.Offset, err)
-		}
-		held := part.ledger.apply(each)
-		if each.Holder == book.holder {
-			part.own[record.Offset] = held
-		}
-	}
 	if len(page.Records) == 0 && page.End <= offset {
 		return fmt.Errorf("partition %d ends at %d, expected an entry at %d", number, page.End, offset)
 	}
-	return nil
+	part.next = page.Next
+	return part.ledger.fold(page.Records, page.Next, book.settle)
 }
 
 // list starts a partition anew from the newest records.
@@ -122,14 +114,27 @@
 		return err
 	}
 	fresh := newLedger()
-	own := make(map[int64]int)
-	if err := fresh.fold(records, end, book.holder, own); err != nil {
+	if err := fresh.fold(records, end, book.settle); err != nil {
 		return err
 	}
-	part.ledger, part.next, part.own = fresh, end, own
+	part.ledger, part.next = fresh, end
 	return nil
 }
 
+// settle credits an own entry the first time that it is read.
+func (book *book) settle(one entry, held int) {
+	if one.Holder != book.holder {
+		return
+	}
+	book.mutex.Lock()
+	first := book.open[one.Serial]
+	delete(book.open, one.Serial)
+	book.mutex.Unlock()
+	if first {
+		book.credit(one.Program, held)
+	}
+}
+
 // known returns what is known of a program without reading.
 func (book *book) known(program string) (taken int, holders []string) {
 	part := book.parts[book.partOf(program)]
--- a/internal/budget/homes.go
+++ b/internal/budget/homes.go
@@ -23,6 +23,7 @@
 
 // Question asks the home of a program for tokens.
 type Question struct {
+	ID      string        `msgpack:"i"` // of the reservation
 	Program string        `msgpack:"p"`
 	Budget  int           `msgpack:"b"`
 	Tokens  int           `msgpack:"t"`
@@ -31,8 +32,7 @@
 
 // Answer is the home's answer.
 type Answer struct {
-	ID    string `msgpack:"i,omitempty"`
-	Spent bool   `msgpack:"s,omitempty"` // the budget does not hold the tokens
+	Spent bool `msgpack:"s,omitempty"` // the budget does not hold the tokens
 }
 
 // Settlement ends a reservation.
@@ -54,7 +54,7 @@
 
 	mutex  sync.Mutex
 	serial int64
-	open   map[string]held // reservations of other hosts
+	open   map[string]held // reservations of other hosts, and settlements that came before them
 }
 
 type held struct {
@@ -72,15 +72,20 @@
 func (counter *Counter) Reserve(ctx context.Context, program string, budget, tokens int, limit time.Duration) (settle func(used int), err error) {
 	address, self := counter.homes.Home(program)
 	if !self {
-		answer, err := counter.homes.Reserve(ctx, address, Question{Program: program, Budget: budget, Tokens: tokens, Expires: limit})
+		id := counter.purses.book.holder + "/" + strconv.FormatInt(counter.next(), 36)
+		settlement := Settlement{Program: program, ID: id}
+		answer, err := counter.homes.Reserve(ctx, address, Question{ID: id, Program: program, Budget: budget, Tokens: tokens, Expires: limit})
 		switch {
 		case err == nil && answer.Spent:
 			return nil, ErrSpent
 		case err == nil:
 			return func(used int) {
-				counter.homes.Settle(address, Settlement{Program: program, ID: answer.ID, Used: used})
+				settlement.Used = used
+				counter.homes.Settle(address, settlement)
 			}, nil
 		}
+		// The home may have reserved, or may do so later.
+		counter.homes.Settle(address, settlement)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -102,21 +107,34 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	counter.mutex.Lock()
+	_, settled := counter.open[question.ID]
+	counter.open[question.ID] = held{reservation: reservation, expires: counter.clock.Now().Add(question.Expires + expiryMargin)}
+	counter.mutex.Unlock()
+	if settled {
+		counter.Settled(Settlement{ID: question.ID})
+	}
+	return Answer{}, nil
+}
+
+func (counter *Counter) next() int64 {
 	counter.mutex.Lock()
 	defer counter.mutex.Unlock()
 	counter.serial++
-	id := strconv.FormatInt(counter.serial, 36)
-	counter.open[id] = held{reservation: reservation, expires: counter.clock.Now().Add(question.Expires + expiryMargin)}
-	return Answer{ID: id}, nil
+	return counter.serial
 }
 
 // Settled ends a reservation of another host.
 func (counter *Counter) Settled(settlement Settlement) {
 	counter.mutex.Lock()
 	one, ok := counter.open[settlement.ID]
-	delete(counter.open, settlement.ID)
+	if ok && one.reservation != nil {
+		delete(counter.open, settlement.ID)
+	} else {
+		counter.open[settlement.ID] = held{expires: counter.clock.Now().Add(expiryMargin)}
+	}
 	counter.mutex.Unlock()
-	if ok {
+	if one.reservation != nil {
 		one.reservation.Settle(settlement.Used)
 	}
 }
@@ -129,7 +147,9 @@
 	var late []*Reservation
 	for id, one := range counter.open {
 		if now.After(one.expires) {
-			late = append(late, one.reservation)
+			if one.reservation != nil {
+				late = append(late, one.reservation)
+			}
 			delete(counter.open, id)
 		}
 	}
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -22,6 +22,7 @@
 	Budget  int    `msgpack:"b"`
 	Tokens  int    `msgpack:"t"`
 	Written int64  `msgpack:"w"` // Unix milliseconds
+	Serial  int64  `msgpack:"s"` // number of the entry among its holder's
 }
 
 // account is what is known of one program.
@@ -59,21 +60,18 @@
 }
 
 // fold counts a listing. Records from the offset on are left out, as reading
-// goes on there. What holds of the holder's own entries is noted by offset.
-func (ledger *ledger) fold(records []store.Record, end int64, holder string, own map[int64]int) error {
+// goes on there. Each is called with what holds of an entry.
+func (ledger *ledger) fold(records []store.Record, end int64, each func(entry, int)) error {
 	sort.Slice(records, func(a, b int) bool { return records[a].Offset < records[b].Offset })
 	for _, record := range records {
 		if record.Offset >= end || record.Dropped() {
 			continue
 		}
-		var each entry
-		if err := codec.Unmarshal(record.Value, &each); err != nil {
+		var one entry
+		if err := codec.Unmarshal(record.Value, &one); err != nil {
 			return fmt.Errorf("decode taking at offset %d: %w", record.Offset, err)
 		}
-		held := ledger.apply(each)
-		if each.Holder == holder {
-			own[record.Offset] = held
-		}
+		each(one, ledger.apply(one))
 	}
 	return nil
 }
--- a/internal/budget/purses.go
+++ b/internal/budget/purses.go
@@ -50,9 +50,25 @@
 
 // NewPurses returns purses of a host. The holder is the host's incarnation.
 func NewPurses(reading store.Store, writer *store.Writer, clock clockwork.Clock, logger log.Interface, holder string, partitions int, recall Recaller) *Purses {
-	return &Purses{
-		book: newBook(reading, writer, clock, holder, partitions), clock: clock, logger: logger, recall: recall,
-		purses: make(map[string]*purse),
+	purses := &Purses{clock: clock, logger: logger, recall: recall, purses: make(map[string]*purse)}
+	purses.book = newBook(reading, writer, clock, holder, partitions, purses.credit)
+	return purses
+}
+
+// credit counts what holds of an entry once it has been read back. Returned
+// tokens were reserved until then.
+func (purses *Purses) credit(program string, held int) {
+	purses.mutex.Lock()
+	one, ok := purses.purses[program]
+	purses.mutex.Unlock()
+	if !ok {
+		return
+	}
+	one.counts.Lock()
+	defer one.counts.Unlock()
+	one.taken += held
+	if held < 0 {
+		one.reserved += held
 	}
 }
 
@@ -125,14 +141,10 @@
 		return nil
 	}
 	ask := max(missing, int(sliceShare*float64(purse.budget)))
-	held, err := purses.book.take(ctx, program, purse.budget, ask)
-	if err != nil {
+	if err := purses.book.take(ctx, program, purse.budget, ask); err != nil {
 		return err
 	}
-	purse.counts.Lock()
-	purse.taken += held
-	purse.counts.Unlock()
-	purses.logger.WithFields(log.Fields{"program": program, "budget": purse.budget, "asked": ask, "held": held, "taken_before": taken}).Info("part of a budget taken")
+	purses.logger.WithFields(purse.fields(program, tokens)).WithFields(log.Fields{"asked": ask, "taken_before": taken}).Info("part of a budget taken")
 	return nil
 }
 
@@ -148,13 +160,15 @@
 	one.counts.Lock()
 	free := max(0, one.taken-one.spent-one.reserved)
 	budget := one.budget
-	one.taken -= free
+	one.reserved += free
 	one.counts.Unlock()
 	if free == 0 {
 		return 0, nil
 	}
-	held, err := purses.book.take(ctx, program, budget, -free)
-	return -held, err
+	if err := purses.book.take(ctx, program, budget, -free); err != nil {
+		return 0, err
+	}
+	return free, nil
 }
 
 func (purses *Purses) purse(program string, budget int) *purse {
