Admit programs by their rate, and let those under way wait for a token

Change: a program is admitted while the rates of those under way leave room for its own; one under way waits up to 0.25 s for a token. Part of the burst is spread over the window, within the same limit.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -46,7 +46,7 @@
 		return refused
 	}
 	if visit.workspace != nil {
-		limit := quota.Limit{Rate: visit.workspace.Rate, Burst: visit.workspace.Burst}
+		limit := quota.Limit{Rate: visit.workspace.Rate, Burst: visit.workspace.Burst, Window: front.window}
 		if admitted, retry := front.rates.Admit(incoming.Context(), visit.workspace.Name, limit, decoded.Program, visit.route.Name, visit.route.Priority == 0); !admitted {
 			return refuse(http.StatusTooManyRequests, "rate_exceeded").after(retry)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,6 +61,7 @@
 	rates         Rates
 	budgets       Budgets
 	histories     Histories
+	window        time.Duration
 	draining      atomic.Bool
 	active        atomic.Int64
 }
@@ -76,13 +77,14 @@
 	Rates         Rates
 	Budgets       Budgets
 	Histories     Histories
+	Window        time.Duration // over which workspaces' rates are counted
 }
 
 // New returns a front.
 func New(parts Parts) *Front {
 	return &Front{
 		clock: parts.Clock, logger: parts.Logger, metrics: parts.Metrics, configuration: parts.Configuration,
-		board: parts.Board, pool: parts.Pool, rates: parts.Rates, budgets: parts.Budgets, histories: parts.Histories,
+		board: parts.Board, pool: parts.Pool, rates: parts.Rates, budgets: parts.Budgets, histories: parts.Histories, window: parts.Window,
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 	gateway.front = front.New(front.Parts{
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
 		Board: gateway.board, Pool: gateway.pool, Rates: gateway.limiter, Budgets: gateway.counter, Histories: gateway.histories,
+		Window: settings.Bounds.QuotaWindow,
 	})
 	return gateway
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -8,10 +8,33 @@
 	"time"
 )
 
-// Limit is a workspace's rate over all hosts together.
+// Limit is a workspace's rate over all hosts together: no span of the window's
+// length takes more than the rate for that time and the burst.
 type Limit struct {
-	Rate  float64 `msgpack:"r"` // requests a second
-	Burst float64 `msgpack:"b"`
+	Rate   float64       `msgpack:"r"` // requests a second
+	Burst  float64       `msgpack:"b"`
+	Window time.Duration `msgpack:"w"`
+}
+
+// capacityShare is the part of a burst that an account can hold at once; the
+// rest is spread over the window, which admits more programs whole.
+const capacityShare = 0.4
+
+// refill returns what is added in a second.
+func (limit Limit) refill() float64 {
+	if limit.Window <= 0 {
+		return limit.Rate
+	}
+	return limit.Rate + (1-capacityShare)*limit.Burst/limit.Window.Seconds()
+}
+
+// capacity returns the most that an account holds. A window then takes no more
+// than the capacity and the refill of its time, which is the limit.
+func (limit Limit) capacity() float64 {
+	if limit.Window <= 0 {
+		return limit.Burst
+	}
+	return capacityShare * limit.Burst
 }
 
 // Question asks for a token, and for a stock.
@@ -29,52 +52,66 @@
 type Answer struct {
 	Admitted bool          `msgpack:"a,omitempty"`
 	Stock    int           `msgpack:"s,omitempty"`
+	Delay    time.Duration `msgpack:"d,omitempty"` // until the token may be used
 	Retry    time.Duration `msgpack:"t,omitempty"`
 }
 
 const (
 	startTime      = 250 * time.Millisecond // of the rate that a new account holds: the account before it may have spent its burst
-	promiseTime    = 3 * time.Second        // of the rate that may be promised to programs under way
 	programSilence = 4 * time.Second        // after its last request a program is taken for ended
-	firstLength    = 8                      // requests of a program before any has been seen to end
-	leastLength    = 2
-	lengthWeight   = 0.1 // of the newest program in the average length
-	stockLevel     = 0.5 // of the burst above which tokens are moved to other hosts
+	patience       = 250 * time.Millisecond // that a program under way waits for a token; its aim leaves a little more
+	pauseTime      = 900 * time.Millisecond // between requests of a program that is under way
+	firstLength    = 10                     // requests of a program before any has been seen to end
+	firstSpan      = 2 * time.Second        // time of a program before any has been seen to end
+	leastSpan      = 500 * time.Millisecond
+	lengthWeight   = 0.1             // of the newest program in the averages
+	overcommit     = 1.1             // programs pause, so a little more than the rate may be promised
+	tokenTime      = 2 * time.Second // over which tokens at hand count as rate
+	stockLevel     = 0.5             // of the capacity above which tokens are moved to other hosts
 	stockPart      = 0.25
 	leastRetry     = 60 * time.Millisecond
 	mostRetry      = 2 * time.Second
 )
 
-// Account is the tokens of one workspace and what they are promised to: a
+// Account is the tokens of one workspace and the rate that it has promised: a
 // program that has begun needs more requests until it ends, and one that stops
 // midway for want of tokens is worth nothing. New programs are admitted while
-// what is promised fits.
+// the rates of those under way leave room for theirs.
 type Account struct {
 	limit    Limit
 	tokens   float64
 	updated  time.Time
 	swept    time.Time
 	programs map[string]*course
-	lengths  map[string]float64 // average requests of a program by route
-	promised float64
-	// urgentLength is kept free of less urgent programs, so that the next
-	// urgent one finds room.
-	urgentLength float64
+	usual    map[string]*usual // by route of the first request
+	promised float64           // requests a second of all programs under way
+	// urgentRate is kept free of less urgent programs, so that the next urgent
+	// one finds room.
+	urgentRate float64
 }
 
 // course is one program under way.
 type course struct {
-	route    string
-	used     int
-	expected float64
-	last     time.Time
+	route string
+	used  int
+	rate  float64
+	begun time.Time
+	last  time.Time
 }
 
+// usual is the average program that begins on a route.
+type usual struct {
+	length float64
+	span   time.Duration
+}
+
+func (usual *usual) rate() float64 { return usual.length / max(usual.span, leastSpan).Seconds() }
+
 // NewAccount returns an account with a little of the rate in it.
 func NewAccount(limit Limit, now time.Time) *Account {
 	return &Account{
-		limit: limit, tokens: math.Min(limit.Burst, limit.Rate*startTime.Seconds()), updated: now, swept: now,
-		programs: make(map[string]*course), lengths: make(map[string]float64),
+		limit: limit, tokens: math.Min(limit.capacity(), limit.refill()*startTime.Seconds()), updated: now, swept: now,
+		programs: make(map[string]*course), usual: make(map[string]*usual),
 	}
 }
 
@@ -90,19 +127,27 @@
 	if question.Program == "" {
 		begun = true
 	}
+	refill := account.limit.refill() * portion
+	if begun && account.tokens < 1 && account.tokens >= 1-refill*patience.Seconds() {
+		// A program under way waits for a token that comes soon.
+		account.tokens--
+		account.use(question.Program, question.Route, 1, now)
+		return Answer{Admitted: true, Delay: time.Duration(-account.tokens / refill * float64(time.Second))}
+	}
 	if account.tokens < 1 {
-		return Answer{Retry: retry((1 - account.tokens) / (account.limit.Rate * portion))}
+		return Answer{Retry: retry((1 - account.tokens) / refill)}
 	}
+	rate := account.of(question.Route).rate()
 	if question.Urgent {
-		account.urgentLength = account.length(question.Route)
+		account.urgentRate = rate
 	}
 	if !begun {
-		room := account.tokens + account.limit.Rate*portion*promiseTime.Seconds() - account.promised - account.length(question.Route)
+		room := overcommit*refill + account.tokens/tokenTime.Seconds() - account.promised - rate
 		if !question.Urgent {
-			room -= account.urgentLength
+			room -= account.urgentRate
 		}
 		if room < 0 {
-			return Answer{Retry: retry(-room / (account.limit.Rate * portion))}
+			return Answer{Retry: retry(-room / refill)}
 		}
 	}
 	account.tokens--
@@ -112,7 +157,7 @@
 
 // stock moves tokens that are not needed here.
 func (account *Account) stock(want int, portion float64) int {
-	spare := account.tokens - stockLevel*account.limit.Burst*portion
+	spare := account.tokens - stockLevel*account.limit.capacity()*portion
 	moved := max(0, min(want, int(spare*stockPart)))
 	account.tokens -= float64(moved)
 	return moved
@@ -122,38 +167,42 @@
 	passed := now.Sub(account.updated).Seconds()
 	if passed > 0 {
 		account.updated = now
-		account.tokens += account.limit.Rate * portion * passed
+		account.tokens += account.limit.refill() * portion * passed
 	}
-	account.tokens = math.Min(account.tokens, math.Max(1, account.limit.Burst*portion))
-	if now.Sub(account.swept) >= programSilence/4 {
+	account.tokens = math.Min(account.tokens, math.Max(1, account.limit.capacity()*portion))
+	if now.Sub(account.swept) >= pauseTime/8 {
 		account.sweep(now)
 	}
 }
 
-// sweep ends programs that have fallen silent and learns their lengths.
+// sweep ends programs that have fallen silent and learns from them.
 func (account *Account) sweep(now time.Time) {
 	account.swept = now
 	account.promised = 0
 	for id, course := range account.programs {
-		if now.Sub(course.last) >= programSilence {
-			length := account.length(course.route)
-			account.lengths[course.route] = length + lengthWeight*(float64(course.used)-length)
-			delete(account.programs, id)
+		silent := now.Sub(course.last)
+		if silent < pauseTime {
+			account.promised += course.rate
+		}
+		if silent < programSilence {
 			continue
 		}
-		account.promised += course.left()
+		usual := account.of(course.route)
+		usual.length += lengthWeight * (float64(course.used) - usual.length)
+		usual.span += time.Duration(lengthWeight * float64(course.last.Sub(course.begun)-usual.span))
+		delete(account.programs, id)
 	}
 }
 
-func (account *Account) length(route string) float64 {
-	if length, ok := account.lengths[route]; ok {
-		return math.Max(leastLength, length)
+func (account *Account) of(route string) *usual {
+	one, ok := account.usual[route]
+	if !ok {
+		one = &usual{length: firstLength, span: firstSpan}
+		account.usual[route] = one
 	}
-	return firstLength
+	return one
 }
 
-func (course *course) left() float64 { return math.Max(0, course.expected-float64(course.used)) }
-
 // use counts requests of a program.
 func (account *Account) use(program, route string, count int, now time.Time) {
 	if program == "" {
@@ -161,14 +210,12 @@
 	}
 	one, ok := account.programs[program]
 	if !ok {
-		one = &course{route: route, expected: account.length(route)}
+		one = &course{route: route, rate: account.of(route).rate(), begun: now}
 		account.programs[program] = one
-	} else {
-		account.promised -= one.left()
+		account.promised += one.rate
 	}
 	one.used += count
 	one.last = now
-	account.promised += one.left()
 }
 
 func retry(seconds float64) time.Duration {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -76,6 +76,14 @@
 		one.tokens, one.expires = answer.Stock, limiter.clock.Now().Add(stockTime)
 		limiter.mutex.Unlock()
 	}
+	if answer.Delay > 0 {
+		limiter.metrics.Latency("rate_wait", answer.Delay)
+		select {
+		case <-limiter.clock.After(answer.Delay):
+		case <-ctx.Done():
+			return false, leastRetry
+		}
+	}
 	return answer.Admitted, answer.Retry
 }
 
