--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,7 @@
 	}))
 	gateway.mesh.SetTransport(gateway.transport)
 	gateway.configuration = newConfiguration(settings, gateway.store, clock, logger)
-	gateway.targets = newTargets(clock, logger, gateway.board, gateway.store.Failed)
+	gateway.targets = newTargets(clock, logger, gateway.board, gateway.store.WellSince)
 	gateway.front = front.New(front.Parts{
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
 		Board: gateway.board, Pool: gateway.pool, Rates: gateway.limiter, Budgets: gateway.counter, Histories: gateway.histories,
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -11,23 +11,21 @@
 	"github.com/godwitspread/godwitspread/platform"
 )
 
-// returnTime is how long a target whose entry is missing after an outage of
-// the store has to renew it: entries are back about two seconds after the
-// store.
+// returnTime is how long targets have to renew entries that lapsed during an
+// outage of the store: they are back about two seconds after it.
 const returnTime = 2200 * time.Millisecond
 
 // targets keeps the board in step with the targets' entries.
 type targets struct {
-	clock    clockwork.Clock
-	logger   log.Interface
-	board    *placement.Board
-	unwell   func() time.Time // when the store last failed
-	missing  map[string]time.Time
-	settling time.Duration
+	clock   clockwork.Clock
+	logger  log.Interface
+	board   *placement.Board
+	well    func() (time.Time, bool) // since when the store has answered
+	missing map[string]bool
 }
 
-func newTargets(clock clockwork.Clock, logger log.Interface, board *placement.Board, unwell func() time.Time) *targets {
-	return &targets{clock: clock, logger: logger, board: board, unwell: unwell, missing: make(map[string]time.Time), settling: returnTime}
+func newTargets(clock clockwork.Clock, logger log.Interface, board *placement.Board, well func() (time.Time, bool)) *targets {
+	return &targets{clock: clock, logger: logger, board: board, well: well, missing: make(map[string]bool)}
 }
 
 // apply takes entries. It runs on the follower's goroutine.
@@ -35,7 +33,7 @@
 	present := make(map[string]bool)
 	for _, record := range records {
 		if record.Dropped() {
-			targets.gone(record.Key)
+			targets.missing[record.Key] = true
 			continue
 		}
 		present[record.Key] = true
@@ -52,28 +50,21 @@
 	if whole {
 		for _, id := range targets.board.IDs() {
 			if !present[id] {
-				targets.gone(id)
+				targets.missing[id] = true
 			}
 		}
 	}
 	targets.sweep()
 }
 
-func (targets *targets) gone(id string) {
-	if _, waiting := targets.missing[id]; !waiting {
-		targets.missing[id] = targets.clock.Now()
-	}
-}
-
-// sweep removes missing targets: at once while the store is well, after a time
-// to return otherwise.
+// sweep removes missing targets once the store has been well for long enough
+// that a live one would have renewed its entry.
 func (targets *targets) sweep() {
-	now := targets.clock.Now()
-	for id, since := range targets.missing {
-		unwell := targets.unwell()
-		if !unwell.IsZero() && since.Sub(unwell) < targets.settling && now.Sub(since) < targets.settling {
-			continue
-		}
+	since, well := targets.well()
+	if !well || targets.clock.Since(since) < returnTime {
+		return
+	}
+	for id := range targets.missing {
 		delete(targets.missing, id)
 		if targets.board.Remove(id) {
 			targets.logger.WithField("target", id).Info("target is gone")
--- a/internal/store/failover.go
+++ b/internal/store/failover.go
@@ -37,6 +37,7 @@
 	answered time.Time
 	failed   time.Time
 	latency  time.Duration // moving average of direct answers
+	well     time.Time     // since when every call has been answered, by whichever path
 }
 
 // NewFailover returns a store with two ways. Relays lists the hosts that reach
@@ -66,6 +67,26 @@
 	return failover.failed
 }
 
+// WellSince returns since when every call has been answered, by whichever
+// path, and false while calls fail.
+func (failover *Failover) WellSince() (time.Time, bool) {
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	return failover.well, !failover.well.IsZero()
+}
+
+// served notes whether a call was answered by any path.
+func (failover *Failover) served(answered bool) {
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	switch {
+	case !answered:
+		failover.well = time.Time{}
+	case failover.well.IsZero():
+		failover.well = failover.clock.Now()
+	}
+}
+
 // Append implements Store.
 func (failover *Failover) Append(ctx context.Context, batch Append) (int64, error) {
 	return attempt(ctx, failover, 0, func(ctx context.Context, store Store) (int64, error) { return store.Append(ctx, batch) })
@@ -117,6 +138,7 @@
 		case one := <-results:
 			running--
 			if Answered(one.err) {
+				failover.served(true)
 				return one.value, one.err
 			}
 			lastErr = one.err
@@ -125,10 +147,14 @@
 				next()
 			}
 		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				failover.served(false)
+			}
 			var none T
 			return none, errors.Join(ctx.Err(), lastErr)
 		}
 	}
+	failover.served(false)
 	var none T
 	return none, lastErr
 }
