Share what programs usually need over workspaces

Cause: a new account learned the usual length of programs anew, so that the first wave in a limited workspace was admitted and stopped midway.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -59,13 +59,13 @@
 const (
 	startTime      = 250 * time.Millisecond // of the rate that a new account holds: the account before it may have spent its burst
 	programSilence = 4 * time.Second        // after its last request a program is taken for ended
-	patience       = 250 * time.Millisecond // that a program under way waits for a token; its aim leaves a little more
+	patience       = 400 * time.Millisecond // that a program under way waits for a token; its aim leaves a little more
 	pauseTime      = 900 * time.Millisecond // between requests of a program that is under way
 	firstLength    = 10                     // requests of a program before any has been seen to end
 	firstSpan      = 2 * time.Second        // time of a program before any has been seen to end
 	leastSpan      = 500 * time.Millisecond
 	lengthWeight   = 0.1             // of the newest program in the averages
-	overcommit     = 1.1             // programs pause, so a little more than the rate may be promised
+	overcommit     = 1.4             // programs pause, so a little more than the rate may be promised
 	tokenTime      = 2 * time.Second // over which tokens at hand count as rate
 	stockLevel     = 0.5             // of the capacity above which tokens are moved to other hosts
 	stockPart      = 0.25
@@ -83,8 +83,8 @@
 	updated  time.Time
 	swept    time.Time
 	programs map[string]*course
-	usual    map[string]*usual // by route of the first request
-	promised float64           // requests a second of all programs under way
+	habits   *Habits
+	promised float64 // requests a second of all programs under way
 	// urgentRate is kept free of less urgent programs, so that the next urgent
 	// one finds room.
 	urgentRate float64
@@ -99,6 +99,13 @@
 	last  time.Time
 }
 
+// Habits are what programs that begin on each route usually need. Workspaces
+// share them.
+type Habits struct{ byRoute map[string]*usual }
+
+// NewHabits returns habits that know no route.
+func NewHabits() *Habits { return &Habits{byRoute: make(map[string]*usual)} }
+
 // usual is the average program that begins on a route.
 type usual struct {
 	length float64
@@ -107,11 +114,27 @@
 
 func (usual *usual) rate() float64 { return usual.length / max(usual.span, leastSpan).Seconds() }
 
+func (habits *Habits) of(route string) *usual {
+	one, ok := habits.byRoute[route]
+	if !ok {
+		one = &usual{length: firstLength, span: firstSpan}
+		habits.byRoute[route] = one
+	}
+	return one
+}
+
+// learn counts a program that has ended.
+func (habits *Habits) learn(course *course) {
+	usual := habits.of(course.route)
+	usual.length += lengthWeight * (float64(course.used) - usual.length)
+	usual.span += time.Duration(lengthWeight * float64(course.last.Sub(course.begun)-usual.span))
+}
+
 // NewAccount returns an account with a little of the rate in it.
-func NewAccount(limit Limit, now time.Time) *Account {
+func NewAccount(limit Limit, habits *Habits, now time.Time) *Account {
 	return &Account{
 		limit: limit, tokens: math.Min(limit.capacity(), limit.refill()*startTime.Seconds()), updated: now, swept: now,
-		programs: make(map[string]*course), usual: make(map[string]*usual),
+		programs: make(map[string]*course), habits: habits,
 	}
 }
 
@@ -137,7 +160,7 @@
 	if account.tokens < 1 {
 		return Answer{Retry: retry((1 - account.tokens) / refill)}
 	}
-	rate := account.of(question.Route).rate()
+	rate := account.habits.of(question.Route).rate()
 	if question.Urgent {
 		account.urgentRate = rate
 	}
@@ -187,22 +210,11 @@
 		if silent < programSilence {
 			continue
 		}
-		usual := account.of(course.route)
-		usual.length += lengthWeight * (float64(course.used) - usual.length)
-		usual.span += time.Duration(lengthWeight * float64(course.last.Sub(course.begun)-usual.span))
+		account.habits.learn(course)
 		delete(account.programs, id)
 	}
 }
 
-func (account *Account) of(route string) *usual {
-	one, ok := account.usual[route]
-	if !ok {
-		one = &usual{length: firstLength, span: firstSpan}
-		account.usual[route] = one
-	}
-	return one
-}
-
 // use counts requests of a program.
 func (account *Account) use(program, route string, count int, now time.Time) {
 	if program == "" {
@@ -210,7 +222,7 @@
 	}
 	one, ok := account.programs[program]
 	if !ok {
-		one = &course{route: route, rate: account.of(route).rate(), begun: now}
+		one = &course{route: route, rate: account.habits.of(route).rate(), begun: now}
 		account.programs[program] = one
 		account.promised += one.rate
 	}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -39,6 +39,7 @@
 	stocks   map[string]*stock
 	accounts map[string]*Account // kept here for all hosts
 	alone    map[string]*Account // used while the keeper is out of reach
+	habits   *Habits
 }
 
 // stock is what this host holds of a workspace's tokens.
@@ -54,7 +55,7 @@
 func NewLimiter(keepers Keepers, clock clockwork.Clock, metrics *metric.Metrics) *Limiter {
 	return &Limiter{
 		keepers: keepers, clock: clock, metrics: metrics, stocks: make(map[string]*stock),
-		accounts: make(map[string]*Account), alone: make(map[string]*Account),
+		accounts: make(map[string]*Account), alone: make(map[string]*Account), habits: NewHabits(),
 	}
 }
 
@@ -158,7 +159,7 @@
 	now := limiter.clock.Now()
 	account, ok := accounts[question.Workspace]
 	if !ok || now.Sub(account.updated) > accountIdle {
-		account = NewAccount(question.Limit, now)
+		account = NewAccount(question.Limit, limiter.habits, now)
 		accounts[question.Workspace] = account
 	}
 	return account.Serve(question, portion, now)
