Leave the rotation and refuse at once when cut off

Change: a direct call of the store that takes six usual answers counts as stalled; a host that reaches neither the store nor a host elsewhere is not ready and refuses at once what needs them; a program's budget is counted in the data centre that it comes through; targets of silent data centres are used last.

--- a/internal/budget/homes.go
+++ b/internal/budget/homes.go
@@ -16,7 +16,7 @@
 // program that come through many hosts share one part of it. Hosts that
 // disagree about it count apart, which is safe.
 type Homes interface {
-	Home(program string) (address string, self bool)
+	Counting(program string) (address string, self bool)
 	Reserve(ctx context.Context, address string, question Question) (Answer, error)
 	Settle(address string, settlement Settlement)
 }
@@ -70,7 +70,7 @@
 // Reserve takes tokens for a turn that ends within a time. Settle must be
 // called with what the turn has generated.
 func (counter *Counter) Reserve(ctx context.Context, program string, budget, tokens int, limit time.Duration) (settle func(used int), err error) {
-	address, self := counter.homes.Home(program)
+	address, self := counter.homes.Counting(program)
 	if !self {
 		id := counter.purses.book.holder + "/" + strconv.FormatInt(counter.next(), 36)
 		settlement := Settlement{Program: program, ID: id}
--- a/internal/budget/purses.go
+++ b/internal/budget/purses.go
@@ -17,10 +17,13 @@
 var ErrSpent = errors.New("budget of the program is spent")
 
 const (
-	sliceShare = 0.34            // of a budget that a host takes at once: a host that is lost leaves the rest
+	sliceShare = 0.4             // of a budget that a host takes at once: a host that is lost leaves the rest
 	memoryTime = 3 * time.Minute // longer than any route remembers a program
 )
 
+// ErrStoreLost reports that more of a budget cannot be taken now.
+var ErrStoreLost = errors.New("store is not reached, so no part of the budget can be taken")
+
 // Recaller asks another host to return what it holds of a budget and has not
 // spent, and returns how much that was. Lost tells that the host is gone for
 // good.
@@ -32,6 +35,8 @@
 	clock  clockwork.Clock
 	logger log.Interface
 	recall Recaller
+	// reachable reports whether the store can be called.
+	reachable func() bool
 
 	mutex  sync.Mutex
 	purses map[string]*purse
@@ -49,8 +54,8 @@
 }
 
 // NewPurses returns purses of a host. The holder is the host's incarnation.
-func NewPurses(reading store.Store, writer *store.Writer, clock clockwork.Clock, logger log.Interface, holder string, partitions int, recall Recaller) *Purses {
-	purses := &Purses{clock: clock, logger: logger, recall: recall, purses: make(map[string]*purse)}
+func NewPurses(reading store.Store, writer *store.Writer, clock clockwork.Clock, logger log.Interface, holder string, partitions int, recall Recaller, reachable func() bool) *Purses {
+	purses := &Purses{clock: clock, logger: logger, recall: recall, reachable: reachable, purses: make(map[string]*purse)}
 	purses.book = newBook(reading, writer, clock, holder, partitions, purses.credit)
 	return purses
 }
@@ -140,6 +145,9 @@
 	if len(holders) == 0 && purse.budget-taken <= 0 && purse.taken > 0 {
 		return nil
 	}
+	if !purses.reachable() {
+		return ErrStoreLost
+	}
 	ask := max(missing, int(sliceShare*float64(purse.budget)))
 	if err := purses.book.take(ctx, program, purse.budget, ask); err != nil {
 		return err
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,6 +48,8 @@
 type Histories interface {
 	Input(ctx context.Context, program, workspace, previous string) ([]byte, error)
 	Keep(ctx context.Context, program string, turn history.Turn) error
+	// Ready reports whether a turn could be made durable.
+	Ready() error
 }
 
 // Front is the handler of callers' requests.
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -15,7 +15,7 @@
 	startPause = 500 * time.Millisecond // a starting host reads its configuration
 	stalePause = 300 * time.Millisecond // other hosts may have a later version
 	busyPause  = 150 * time.Millisecond // a slot of an engine is free again after about a turn
-	storePause = 400 * time.Millisecond
+	storePause = time.Second            // outages of the store and of data centres last for seconds
 )
 
 // rejection is an answer of the scheduler's own.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -238,6 +238,11 @@
 // prepareTurn reserves the turn's part of the budget and assembles its input.
 func (visit *visit) prepareTurn(ctx context.Context) *rejection {
 	front := visit.front
+	if visit.route.KeepsHistory {
+		if err := front.histories.Ready(); err != nil {
+			return refuse(http.StatusServiceUnavailable, "history_not_durable").after(storePause).because(err)
+		}
+	}
 	if visit.route.KeepsHistory && visit.request.PreviousTurn != "" {
 		earlier, err := front.histories.Input(ctx, visit.request.Program, visit.workspaceName(), visit.request.PreviousTurn)
 		switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 
 const (
 	hostsWait        = 10 * time.Second
+	watchInterval    = 100 * time.Millisecond
 	longestRetention = time.Minute
 	historyShare     = 0.2 // of the host's memory that turns may take
 	tidyInterval     = 2 * time.Second
@@ -67,6 +68,7 @@
 	started       time.Time
 	bounds        atomic.Pointer[platform.Bounds]
 	stopping      atomic.Bool
+	isolated      atomic.Bool
 	ctx           context.Context
 	cancel        context.CancelFunc
 	own           mesh.Member
@@ -103,12 +105,12 @@
 	gateway.store = store.NewFailover(gateway.direct, gateway.mesh.Relays, clock, logger)
 	gateway.writer = store.NewWriter(gateway.ctx, gateway.store, clock, logger, gateway.own.Incarnation)
 	partitions := settings.Store.Partitions
-	gateway.purses = budget.NewPurses(gateway.store, gateway.writer, clock, logger, gateway.own.Incarnation, partitions, gateway.mesh.Recall)
+	gateway.purses = budget.NewPurses(gateway.store, gateway.writer, clock, logger, gateway.own.Incarnation, partitions, gateway.mesh.Recall, gateway.store.Reachable)
 	gateway.limiter = quota.NewLimiter(gateway.mesh, clock, gateway.metrics)
 	gateway.counter = budget.NewCounter(gateway.purses, gateway.mesh, clock, gateway.metrics)
 	gateway.histories = history.New(history.Parts{
 		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Peers: gateway.mesh, Partitions: partitions,
-		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), CertainFrom: gateway.certainFrom(),
+		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), CertainFrom: gateway.certainFrom(), Reachable: gateway.store.Reachable,
 	})
 	gateway.transport = peer.NewTransport(settings.Host, gateway.own.Incarnation, settings.PeerSecret, clock, gateway.mesh.Handler(mesh.Services{
 		Store: gateway.direct, Chain: gateway.histories.Chain, Hold: gateway.histories.Hold, Push: gateway.histories.Gather,
@@ -187,6 +189,7 @@
 	go gateway.enter()
 	go gateway.mesh.Run(ctx)
 	go gateway.tidy(ctx)
+	go gateway.watch(ctx)
 	if err := gateway.callers.listen(gateway.settings.CallerAddress); err != nil {
 		return fmt.Errorf("listen for callers on %q: %w", gateway.settings.CallerAddress, err)
 	}
@@ -251,9 +254,33 @@
 	}
 }
 
-// ready reports whether the balancer should send callers here.
+// watch notices when this host is cut off with its data centre, or alone.
+func (gateway *Gateway) watch(ctx context.Context) {
+	ticker := gateway.clock.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			gateway.board.SetSilent(gateway.mesh.SilentDataCentres())
+			isolated := !gateway.store.Reachable() && !gateway.mesh.Elsewhere()
+			if gateway.isolated.Swap(isolated) == isolated {
+				continue
+			}
+			if isolated {
+				gateway.logger.Warn("cut off from the store and all other data centres; leaving the rotation")
+			} else {
+				gateway.logger.Info("no longer cut off; taking callers again")
+			}
+		}
+	}
+}
+
+// ready reports whether the balancer should send callers here. A host that is
+// cut off leaves them to other data centres.
 func (gateway *Gateway) ready() bool {
-	return !gateway.stopping.Load() && gateway.configuration.Table() != nil && gateway.board.Len() > 0
+	return !gateway.stopping.Load() && !gateway.isolated.Load() && gateway.configuration.Table() != nil && gateway.board.Len() > 0
 }
 
 func (gateway *Gateway) readiness() http.Handler {
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -32,6 +33,8 @@
 	// Hold has a turn kept by hosts until this host's data centre and another
 	// one hold it.
 	Hold(ctx context.Context, turn Turn) error
+	// Elsewhere reports whether a host of another data centre is heard.
+	Elsewhere() bool
 }
 
 // Histories keeps turns in memory and in the store.
@@ -42,6 +45,7 @@
 	logger     log.Interface
 	peers      Peers
 	partitions int
+	reachable  func() bool
 	archive    *archive
 	// certainFrom is when this host would have heard of every turn that is
 	// still kept, be it in the store or with other hosts.
@@ -58,13 +62,14 @@
 	Partitions  int
 	MemoryBytes int
 	CertainFrom time.Time
+	Reachable   func() bool // whether the store can be called
 }
 
 // New returns histories.
 func New(parts Parts) *Histories {
 	return &Histories{
 		store: parts.Store, writer: parts.Writer, clock: parts.Clock, logger: parts.Logger, peers: parts.Peers,
-		partitions: parts.Partitions, archive: newArchive(parts.MemoryBytes), certainFrom: parts.CertainFrom,
+		partitions: parts.Partitions, reachable: parts.Reachable, archive: newArchive(parts.MemoryBytes), certainFrom: parts.CertainFrom,
 	}
 }
 
@@ -72,6 +77,18 @@
 	return int(xxhash.Sum64String(workspace) % uint64(histories.partitions))
 }
 
+// ErrNotDurable reports that neither the store nor another data centre can
+// keep a turn now.
+var ErrNotDurable = errors.New("neither the store nor another data centre is reached")
+
+// Ready reports whether a turn could be made durable.
+func (histories *Histories) Ready() error {
+	if !histories.reachable() && !histories.peers.Elsewhere() {
+		return ErrNotDurable
+	}
+	return nil
+}
+
 // Keep makes a turn durable: in the store, or with another data centre while
 // the store does not answer.
 func (histories *Histories) Keep(ctx context.Context, program string, turn Turn) error {
@@ -196,6 +213,10 @@
 	var err error
 	for tries := 0; missing != "" && tries < maxRoots; tries++ {
 		source = "store"
+		if !histories.reachable() {
+			err = ErrNotDurable
+			break
+		}
 		if err = histories.load(ctx, workspace, missing); err != nil {
 			break
 		}
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -357,9 +357,16 @@
 	return float64(live) / all, 1 / all
 }
 
-// Home implements budget.Homes: the host that counts a program's budget.
-func (mesh *Mesh) Home(program string) (address string, self bool) {
-	home, self := mesh.homeOf(program, "")
+// Home implements quota.Keepers: the host that keeps a workspace's account.
+func (mesh *Mesh) Home(workspace string) (address string, self bool) {
+	home, self := mesh.homeOf(workspace, "")
+	return home.Address, self
+}
+
+// Counting implements budget.Homes: the host of this data centre that counts a
+// program's budget. Most programs stay in one, and go on when it is cut off.
+func (mesh *Mesh) Counting(program string) (address string, self bool) {
+	home, self := mesh.homeOf(program, mesh.own.DataCentre)
 	return home.Address, self
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -22,9 +22,9 @@
 const (
 	statusInterval = 250 * time.Millisecond // load and demand change within about a turn
 	statusTimeout  = 400 * time.Millisecond
-	heardTime      = 1200 * time.Millisecond // a host unheard for longer is not asked; four lost rounds
-	memberTime     = 60 * time.Second        // a host unheard for longer holds nothing that is still needed
-	entriesWait    = 10 * time.Second        // long poll of the hosts' entries
+	heardTime      = 800 * time.Millisecond // a host unheard for longer is not asked; three rounds
+	memberTime     = 60 * time.Second       // a host unheard for longer holds nothing that is still needed
+	entriesWait    = 10 * time.Second       // long poll of the hosts' entries
 )
 
 // Member is a host as its entry tells.
@@ -241,6 +241,38 @@
 	return live
 }
 
+// Elsewhere reports whether a host of another data centre is heard.
+func (mesh *Mesh) Elsewhere() bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	for _, one := range mesh.members {
+		if one.DataCentre != mesh.own.DataCentre && mesh.clock.Since(one.heard) <= heardTime {
+			return true
+		}
+	}
+	return false
+}
+
+// SilentDataCentres returns the data centres of which no host is heard, though
+// some were.
+func (mesh *Mesh) SilentDataCentres() map[string]bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	silent := make(map[string]bool)
+	heard := map[string]bool{mesh.own.DataCentre: true}
+	for _, one := range mesh.members {
+		if mesh.clock.Since(one.heard) <= heardTime {
+			heard[one.DataCentre] = true
+		} else if !one.heard.IsZero() {
+			silent[one.DataCentre] = true
+		}
+	}
+	for dataCentre := range heard {
+		delete(silent, dataCentre)
+	}
+	return silent
+}
+
 // SilentHosts returns the hosts that have not been heard lately, though they
 // may live.
 func (mesh *Mesh) SilentHosts() []string {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -34,6 +34,7 @@
 	targets map[string]*seat
 	groups  map[string][]*seat // by service
 	homes   map[string]home    // last target by affinity
+	silent  map[string]bool    // data centres that are not heard
 }
 
 type seat struct {
@@ -140,6 +141,9 @@
 			continue
 		}
 		cost := seat.cost(board.dataCentre, now)
+		if board.silent[seat.target.DataCentre] {
+			cost += avoidCost
+		}
 		if request.Affinity != "" && seat.target.ID == preferred {
 			cost -= homeGain
 		}
@@ -233,6 +237,14 @@
 	}
 }
 
+// SetSilent replaces the data centres that are not heard; their targets are
+// used last.
+func (board *Board) SetSilent(dataCentres map[string]bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.silent = dataCentres
+}
+
 // Own returns the requests of this host under way, by target.
 func (board *Board) Own() map[string]int {
 	board.mutex.Lock()
--- a/internal/store/failover.go
+++ b/internal/store/failover.go
@@ -14,7 +14,9 @@
 	probeInterval = 500 * time.Millisecond  // between tries of a path that failed
 	directLimit   = 1200 * time.Millisecond // for one call on the direct path
 	hedgeAfter    = 120 * time.Millisecond  // thirty usual answers; then a faster path is tried as well
-	goodTime      = 2 * time.Second         // a path that has answered within it counts as reached
+	goodTime      = 900 * time.Millisecond  // a path that has answered within it counts as reached; three reads of the targets
+	stallFactor   = 6                       // usual answers after which a direct call counts as stalled
+	stallAtLeast  = 250 * time.Millisecond
 )
 
 // Path is another host's way to the store.
@@ -209,7 +211,9 @@
 	limited, cancel := context.WithTimeout(ctx, directLimit+wait)
 	defer cancel()
 	begun := failover.clock.Now()
+	stall := failover.clock.AfterFunc(wait+failover.stallTime(), func() { failover.note(begun, errStalled) })
 	value, err := call(limited, failover.direct)
+	stall.Stop()
 	switch {
 	case wait > 0 && err == nil:
 		// How long a poll took says nothing about the path.
@@ -222,6 +226,24 @@
 	return value, err
 }
 
+// errStalled marks a direct call that is still under way.
+var errStalled = errors.New("no answer yet")
+
+// stallTime is how long a direct call may take before other paths are used.
+func (failover *Failover) stallTime() time.Duration {
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	return max(stallAtLeast, stallFactor*failover.latency)
+}
+
+// Reachable reports whether the store can be called now, by whichever path.
+func (failover *Failover) Reachable() bool {
+	failover.mutex.Lock()
+	bad := failover.bad
+	failover.mutex.Unlock()
+	return !bad || len(failover.relays()) > 0
+}
+
 // note records how a direct call that began at a time ended.
 func (failover *Failover) note(begun time.Time, err error) {
 	failover.mutex.Lock()
