Take smaller parts of budgets

Cause: after the loss of all hosts, programs were answered 402: four tenths of their budgets were forfeited.

--- a/internal/budget/purses.go
+++ b/internal/budget/purses.go
@@ -17,7 +17,8 @@
 var ErrSpent = errors.New("budget of the program is spent")
 
 const (
-	sliceShare = 0.4             // of a budget that a host takes at once: a host that is lost leaves the rest
+	sliceShare = 0.4             // of a budget that a host takes at most beyond what it needs
+	sliceTurns = 2               // turns at their largest that a host takes: a host that is lost forfeits no more
 	memoryTime = 3 * time.Minute // longer than any route remembers a program
 )
 
@@ -148,7 +149,7 @@
 	if !purses.reachable() {
 		return ErrStoreLost
 	}
-	ask := max(missing, int(sliceShare*float64(purse.budget)))
+	ask := max(missing, min(int(sliceShare*float64(purse.budget)), sliceTurns*tokens))
 	if err := purses.book.take(ctx, program, purse.budget, ask); err != nil {
 		return err
 	}
