End a turn only when the store holds it

The store was slow, so a host of another data centre held the turn; both died before the queued record was written, and a survivor took the store's word.

Ruled out: replicas in two more data centres (more than half of the hosts may die at once, and all may); answering 503 for every unknown turn (a turn that is gone then reaches no target, which breaks the same rule after a final fault).

Change: the store alone keeps turns; while it is not reached, turns are refused at once. An answer to a poll from before a failure no longer counts as a working path: a test of a silent store found that a turn was begun and cut off for it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,14 +33,13 @@
 )
 
 const (
-	hostsWait        = 10 * time.Second
-	watchInterval    = 100 * time.Millisecond
-	longestRetention = time.Minute
-	historyShare     = 0.2 // of the host's memory that turns may take
-	tidyInterval     = 2 * time.Second
-	targetInterval   = 300 * time.Millisecond  // between reads of the targets' entries; well inside the time to stop using a leaving one
-	balancerLag      = 2500 * time.Millisecond // two missed questions, a second apart, take a host out of rotation
-	stopMargin       = time.Second             // kept back from the grace period for the end of the process
+	hostsWait      = 10 * time.Second
+	watchInterval  = 100 * time.Millisecond
+	historyShare   = 0.2 // of the host's memory that turns may take
+	tidyInterval   = 2 * time.Second
+	targetInterval = 300 * time.Millisecond  // between reads of the targets' entries; well inside the time to stop using a leaving one
+	balancerLag    = 2500 * time.Millisecond // two missed questions, a second apart, take a host out of rotation
+	stopMargin     = time.Second             // kept back from the grace period for the end of the process
 )
 
 // Gateway is an entry host.
@@ -110,10 +109,10 @@
 	gateway.counter = budget.NewCounter(gateway.purses, gateway.mesh, clock, gateway.metrics)
 	gateway.histories = history.New(history.Parts{
 		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Peers: gateway.mesh, Partitions: partitions,
-		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), CertainFrom: gateway.certainFrom(), Reachable: gateway.store.Reachable,
+		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), Reachable: gateway.store.Reachable,
 	})
 	gateway.transport = peer.NewTransport(settings.Host, gateway.own.Incarnation, settings.PeerSecret, clock, gateway.mesh.Handler(mesh.Services{
-		Store: gateway.direct, Chain: gateway.histories.Chain, Hold: gateway.histories.Hold, Push: gateway.histories.Gather,
+		Store: gateway.direct, Chain: gateway.histories.Chain, Push: gateway.histories.Gather,
 		Release: gateway.purses.Release, Reserve: gateway.counter.Serve, Settle: gateway.counter.Settled, Quota: gateway.limiter.Serve,
 	}))
 	gateway.mesh.SetTransport(gateway.transport)
@@ -143,16 +142,6 @@
 	gateway.logger.WithFields(fields).Info("settings read again")
 }
 
-// certainFrom is when this host can tell that a turn does not exist: at once
-// if the whole system has just been started for the first time, and otherwise
-// when turns that were held by hosts lost meanwhile are over.
-func (gateway *Gateway) certainFrom() time.Time {
-	if gateway.settings.FirstStart {
-		return gateway.clock.Now()
-	}
-	return gateway.clock.Now().Add(longestRetention)
-}
-
 // report tells the other hosts this one's state.
 func (gateway *Gateway) report() mesh.Status {
 	status := mesh.Status{
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
@@ -18,26 +17,24 @@
 const Topic = "keyed.turns"
 
 const (
-	rootPrefix   = "i/"                   // key of a turn's root: the turn's id follows
-	textPrefix   = "t/"                   // key of a turn: the root and the turn's id follow
-	replicaAfter = 150 * time.Millisecond // wait for the store before other hosts hold a turn; some dozen usual answers
+	rootPrefix = "i/" // key of a turn's root: the turn's id follows
+	textPrefix = "t/" // key of a turn: the root and the turn's id follow
 )
 
+// ErrNotDurable reports that the store cannot keep a turn now.
+var ErrNotDurable = errors.New("store is not reached, so no turn can be kept")
+
 // Peers are the other hosts as far as histories need them.
 type Peers interface {
-	// Find asks the hosts for the chain up to a turn. All is false if a host
-	// that may hold it gave no answer.
-	Find(ctx context.Context, program, workspace, id string) (turns []Turn, all bool)
+	// Find asks the hosts for the chain up to a turn.
+	Find(ctx context.Context, program, workspace, id string) []Turn
 	// Push gives copies to the host that gathers a program's turns.
 	Push(program string, turns []Turn)
-	// Hold has a turn kept by hosts until this host's data centre and another
-	// one hold it.
-	Hold(ctx context.Context, turn Turn) error
-	// Elsewhere reports whether a host of another data centre is heard.
-	Elsewhere() bool
 }
 
-// Histories keeps turns in memory and in the store.
+// Histories keeps turns in the store, and copies of them in memory. A turn is
+// in the store before its answer ends, so the store alone tells whether a turn
+// exists.
 type Histories struct {
 	store      store.Store
 	writer     *store.Writer
@@ -47,9 +44,6 @@
 	partitions int
 	reachable  func() bool
 	archive    *archive
-	// certainFrom is when this host would have heard of every turn that is
-	// still kept, be it in the store or with other hosts.
-	certainFrom time.Time
 }
 
 // Parts are what histories work with.
@@ -61,7 +55,6 @@
 	Peers       Peers
 	Partitions  int
 	MemoryBytes int
-	CertainFrom time.Time
 	Reachable   func() bool // whether the store can be called
 }
 
@@ -69,7 +62,7 @@
 func New(parts Parts) *Histories {
 	return &Histories{
 		store: parts.Store, writer: parts.Writer, clock: parts.Clock, logger: parts.Logger, peers: parts.Peers,
-		partitions: parts.Partitions, reachable: parts.Reachable, archive: newArchive(parts.MemoryBytes), certainFrom: parts.CertainFrom,
+		partitions: parts.Partitions, reachable: parts.Reachable, archive: newArchive(parts.MemoryBytes),
 	}
 }
 
@@ -77,80 +70,35 @@
 	return int(xxhash.Sum64String(workspace) % uint64(histories.partitions))
 }
 
-// ErrNotDurable reports that neither the store nor another data centre can
-// keep a turn now.
-var ErrNotDurable = errors.New("neither the store nor another data centre is reached")
-
 // Ready reports whether a turn could be made durable.
 func (histories *Histories) Ready() error {
-	if !histories.reachable() && !histories.peers.Elsewhere() {
+	if !histories.reachable() {
 		return ErrNotDurable
 	}
 	return nil
 }
 
-// Keep makes a turn durable: in the store, or with another data centre while
-// the store does not answer.
+// Keep makes a turn durable. An answer whose turn is not durable must not end.
 func (histories *Histories) Keep(ctx context.Context, program string, turn Turn) error {
 	turn.Kept = histories.clock.Now().UnixMilli()
 	turn.Root = turn.ID
 	if previous, ok := histories.archive.get(turn.Previous); ok {
 		turn.Root = previous.Root
 	}
-	queued, err := histories.queue(turn)
+	value, err := codec.Marshal(turn)
 	if err != nil {
 		return err
 	}
-	timer := histories.clock.NewTimer(replicaAfter)
-	defer timer.Stop()
-	select {
-	case <-queued.Done():
-		if _, err := queued.Wait(ctx); err != nil {
-			return err
-		}
-	case <-timer.Chan():
-		if err := histories.replicate(ctx, turn, queued); err != nil {
-			return err
-		}
-	case <-ctx.Done():
-		return ctx.Err()
+	if _, err := histories.writer.Append(ctx, Topic, histories.partOf(turn.Workspace),
+		store.Record{Key: textPrefix + turn.Root + "/" + turn.ID, Value: value},
+		store.Record{Key: rootPrefix + turn.ID, Value: []byte(turn.Root)}); err != nil {
+		return err
 	}
 	histories.archive.put(&turn, histories.clock.Now())
 	histories.peers.Push(program, []Turn{turn})
 	return nil
 }
 
-// replicate waits for the store or for another data centre, whichever is
-// first.
-func (histories *Histories) replicate(ctx context.Context, turn Turn, queued store.Queued) error {
-	held := make(chan error, 1)
-	go func() { held <- histories.peers.Hold(ctx, turn) }()
-	select {
-	case <-queued.Done():
-		_, err := queued.Wait(ctx)
-		return err
-	case err := <-held:
-		if err == nil {
-			histories.logger.WithFields(log.Fields{"turn": turn.ID}).Info("turn is held by another data centre until the store answers")
-			return nil
-		}
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	_, err := queued.Wait(ctx)
-	return err
-}
-
-func (histories *Histories) queue(turn Turn) (store.Queued, error) {
-	value, err := codec.Marshal(turn)
-	if err != nil {
-		return store.Queued{}, err
-	}
-	return histories.writer.Queue(Topic, histories.partOf(turn.Workspace),
-		store.Record{Key: textPrefix + turn.Root + "/" + turn.ID, Value: value},
-		store.Record{Key: rootPrefix + turn.ID, Value: []byte(turn.Root)})
-}
-
 // Gather keeps copies of turns that other hosts have made durable.
 func (histories *Histories) Gather(turns []Turn) {
 	now := histories.clock.Now()
@@ -159,15 +107,6 @@
 	}
 }
 
-// Hold keeps a turn for another host and writes it to the store as well.
-func (histories *Histories) Hold(turn Turn) error {
-	if _, err := histories.queue(turn); err != nil {
-		return err
-	}
-	histories.archive.put(&turn, histories.clock.Now())
-	return nil
-}
-
 // Chain returns the turns up to one as far as this host has them.
 func (histories *Histories) Chain(workspace, id string) []Turn {
 	turns, _ := histories.archive.chain(id)
@@ -206,7 +145,7 @@
 // fetch gathers a chain from other hosts and the store.
 func (histories *Histories) fetch(ctx context.Context, program, workspace, id string) ([]*Turn, error) {
 	begun := histories.clock.Now()
-	found, all := histories.peers.Find(ctx, program, workspace, id)
+	found := histories.peers.Find(ctx, program, workspace, id)
 	histories.Gather(found)
 	turns, missing := histories.archive.chain(id)
 	source := "host"
@@ -223,7 +162,7 @@
 		turns, missing = histories.archive.chain(id)
 	}
 	entry := histories.logger.WithFields(log.Fields{
-		"turn": id, "workspace": workspace, "source": source, "turns": len(turns), "all_hosts_answered": all,
+		"turn": id, "workspace": workspace, "source": source, "turns": len(turns),
 		"elapsed_ms": histories.clock.Since(begun).Milliseconds(),
 	})
 	switch {
@@ -236,9 +175,6 @@
 	case missing != id:
 		entry.WithField("missing", missing).Error("history has a gap")
 		return nil, fmt.Errorf("turn %q before %q is missing", missing, id)
-	case !all || histories.clock.Now().Before(histories.certainFrom):
-		entry.Info("turn not found, but other hosts may hold it")
-		return nil, fmt.Errorf("turn %q is not in the store, and it is not certain that no host holds it", id)
 	default:
 		entry.Info("turn does not exist")
 		return nil, ErrNoTurn
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -24,7 +23,6 @@
 	methodRead    = "read"
 	methodList    = "list"
 	methodFind    = "find"
-	methodHold    = "hold"
 	methodRelease = "release"
 	methodReserve = "reserve"
 	methodSettle  = "settle"
@@ -36,7 +34,6 @@
 type Services struct {
 	Store   store.Store // the direct path to the store
 	Chain   func(workspace, id string) []history.Turn
-	Hold    func(history.Turn) error
 	Push    func([]history.Turn)
 	Release func(ctx context.Context, program string) (int, error)
 	Reserve func(ctx context.Context, question budget.Question) (budget.Answer, error)
@@ -125,15 +122,6 @@
 				return err
 			}
 			return send(findAnswer{Turns: services.Chain(question.Workspace, question.ID)})
-		case methodHold:
-			var turn history.Turn
-			if err := request.Decode(&turn); err != nil {
-				return err
-			}
-			if err := services.Hold(turn); err != nil {
-				return err
-			}
-			return send(done{})
 		case methodRelease:
 			var question releaseQuestion
 			if err := request.Decode(&question); err != nil {
@@ -213,7 +201,7 @@
 const (
 	findTimeout    = 350 * time.Millisecond // a live host answers within a few milliseconds
 	nearTimeout    = 60 * time.Millisecond
-	holdTimeout    = 400 * time.Millisecond
+	peerTimeout    = 400 * time.Millisecond
 	reserveTimeout = 300 * time.Millisecond // two calls of the store and a way there and back, with room
 	settleTries    = 3
 	quotaTimeout   = 120 * time.Millisecond
@@ -221,7 +209,7 @@
 
 // Find implements history.Peers. The host that gathers the program's turns in
 // this data centre is asked first.
-func (mesh *Mesh) Find(ctx context.Context, program, workspace, id string) ([]history.Turn, bool) {
+func (mesh *Mesh) Find(ctx context.Context, program, workspace, id string) []history.Turn {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	question := findQuestion{workspace, id}
@@ -232,17 +220,16 @@
 		err := mesh.transport.Ask(asking, near.Address, methodFind, question, &answer)
 		cancel()
 		if err == nil && len(answer.Turns) > 0 && answer.Turns[0].Previous == "" {
-			return answer.Turns, true
+			return answer.Turns
 		}
 	}
 	live := mesh.Live()
 	answers := make(chan []history.Turn, len(live))
-	var failed atomic.Int64
 	for _, status := range live {
 		go func() {
 			var answer findAnswer
 			if err := mesh.transport.Ask(ctx, status.Member.Address, methodFind, question, &answer); err != nil {
-				failed.Add(1)
+				mesh.logger.WithError(err).WithField("peer", status.Member.Host).Debug("host not asked for a turn")
 			}
 			answers <- answer.Turns
 		}()
@@ -254,10 +241,10 @@
 			longest = turns
 		}
 		if len(longest) > 0 && longest[0].Previous == "" {
-			return longest, true
+			return longest
 		}
 	}
-	return longest, failed.Load() == 0 && len(mesh.SilentHosts()) == 0
+	return longest
 }
 
 // Push implements history.Peers: the host that gathers the program's turns in
@@ -268,7 +255,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
 		var answer done
 		if err := mesh.transport.Ask(ctx, near.Address, methodPush, findAnswer{Turns: turns}, &answer); err != nil {
@@ -277,32 +264,13 @@
 	}()
 }
 
-// Hold implements history.Peers: one host of another data centre keeps the
-// turn.
-func (mesh *Mesh) Hold(ctx context.Context, turn history.Turn) error {
-	err := errors.New("no host of another data centre is heard")
-	for _, status := range mesh.Live() {
-		if status.Member.DataCentre == mesh.own.DataCentre {
-			continue
-		}
-		asking, cancel := context.WithTimeout(ctx, holdTimeout)
-		var answer done
-		err = mesh.transport.Ask(asking, status.Member.Address, methodHold, turn, &answer)
-		cancel()
-		if err == nil {
-			return nil
-		}
-	}
-	return err
-}
-
 // Recall asks a host to return its part of a budget.
 func (mesh *Mesh) Recall(ctx context.Context, incarnation, program string) (returned int, lost bool, err error) {
 	address, found, replaced := mesh.ByIncarnation(incarnation)
 	if !found {
 		return 0, replaced, fmt.Errorf("host %q is not known", incarnation)
 	}
-	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var answer releaseAnswer
 	err = mesh.transport.Ask(ctx, address, methodRelease, releaseQuestion{program}, &answer)
@@ -323,7 +291,7 @@
 	go func() {
 		var answer done
 		for range settleTries {
-			ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 			err := mesh.transport.Ask(ctx, address, methodSettle, settlement, &answer)
 			cancel()
 			if err == nil {
--- a/internal/store/failover.go
+++ b/internal/store/failover.go
@@ -216,8 +216,7 @@
 	stall.Stop()
 	switch {
 	case wait > 0 && err == nil:
-		// How long a poll took says nothing about the path.
-		failover.note(failover.clock.Now(), nil)
+		failover.polled(begun)
 	case ctx.Err() != nil && failover.clock.Since(begun) < hedgeAfter:
 		// The caller left early; the path is not to blame.
 	default:
@@ -250,12 +249,8 @@
 	defer failover.mutex.Unlock()
 	now := failover.clock.Now()
 	if Answered(err) {
-		failover.answered = now
 		failover.latency += (now.Sub(begun) - failover.latency) / 8
-		if failover.bad {
-			failover.bad = false
-			failover.logger.Info("direct path to the store works again")
-		}
+		failover.works(begun, now)
 		return
 	}
 	failover.failed = now
@@ -265,3 +260,24 @@
 		failover.logger.WithError(err).Warn("direct path to the store failed; calling through other hosts")
 	}
 }
+
+// polled records the answer to a poll. How long it took says nothing about the
+// path.
+func (failover *Failover) polled(begun time.Time) {
+	failover.mutex.Lock()
+	defer failover.mutex.Unlock()
+	failover.works(begun, failover.clock.Now())
+}
+
+// works notes an answer. One to a call from before the last failure does not
+// show that calls are served again. The caller holds the mutex.
+func (failover *Failover) works(begun, now time.Time) {
+	if failover.bad && begun.Before(failover.failed) {
+		return
+	}
+	failover.answered = now
+	if failover.bad {
+		failover.bad = false
+		failover.logger.Info("direct path to the store works again")
+	}
+}
