--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -15,7 +15,7 @@
 )
 
 // Topic holds the takings.
-const Topic = "keyed.budgets"
+const Topic = "budgets"
 
 // partition is this host's copy of one partition.
 type partition struct {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -42,7 +42,7 @@
 	relayed := &relayed{visit: visit, lastEvent: visit.request.LastEvent, keeps: visit.route.KeepsHistory}
 	defer func() {
 		if visit.settle != nil {
-			visit.settle(relayed.events * visit.eventTokens())
+			visit.settle(relayed.events * visit.tokensPerEvent())
 		}
 	}()
 	for len(visit.tried) < maxSends {
@@ -167,8 +167,8 @@
 	return nil
 }
 
-// eventTokens returns what an event counts in budgets.
-func (visit *visit) eventTokens() int {
+// tokensPerEvent returns what an event counts in budgets.
+func (visit *visit) tokensPerEvent() int {
 	if table := visit.front.configuration.Table(); table != nil {
 		if service := table.Service(visit.service); service != nil && service.Engine != nil {
 			return service.Engine.EventTokens
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -14,7 +14,7 @@
 )
 
 // Topic holds the turns, and for each turn the root of its chain.
-const Topic = "keyed.turns"
+const Topic = "turns"
 
 const (
 	rootPrefix = "i/" // key of a turn's root: the turn's id follows
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,7 +17,7 @@
 )
 
 // Topic holds the hosts' own entries.
-const Topic = "keyed.hosts"
+const Topic = "hosts"
 
 const (
 	statusInterval = 250 * time.Millisecond // load and demand change within about a turn
--- a/internal/store/failover.go
+++ b/internal/store/failover.go
@@ -200,7 +200,7 @@
 }
 
 // probeTopic is a topic with little in it.
-const probeTopic = "keyed.hosts"
+const probeTopic = "hosts"
 
 func (failover *Failover) mayHedge(path *Path) bool { return path == nil || path.Fast }
 
