Refuse requests that crash targets, on all hosts

A request whose target closes the connection and no longer listens is blamed; after two crashes, counted over all hosts, it is refused as not run.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/quota"
 	"github.com/godwitspread/godwitspread/internal/route"
 	"github.com/godwitspread/godwitspread/platform"
@@ -45,6 +46,10 @@
 	if refused := visit.read(incoming, table.Limits()); refused != nil {
 		return refused
 	}
+	visit.digest = placement.Digest(visit.workspaceName(), decoded.URI, decoded.PreviousTurn, decoded.Body)
+	if front.suspects.Banned(visit.digest, visit.arrived) {
+		return refuse(http.StatusServiceUnavailable, "quarantined").after(quarantinePause)
+	}
 	if visit.workspace != nil {
 		limit := quota.Limit{Rate: visit.workspace.Rate, Burst: visit.workspace.Burst, Window: front.window}
 		if admitted, retry := front.rates.Admit(incoming.Context(), visit.workspace.Name, limit, decoded.Program, visit.route.Name, visit.route.Priority == 0); !admitted {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,7 @@
 	configuration Configuration
 	board         *placement.Board
 	pool          *outbound.Pool
+	suspects      *placement.Suspects
 	rates         Rates
 	budgets       Budgets
 	histories     Histories
@@ -76,6 +77,7 @@
 	Configuration Configuration
 	Board         *placement.Board
 	Pool          *outbound.Pool
+	Suspects      *placement.Suspects
 	Rates         Rates
 	Budgets       Budgets
 	Histories     Histories
@@ -86,7 +88,7 @@
 func New(parts Parts) *Front {
 	return &Front{
 		clock: parts.Clock, logger: parts.Logger, metrics: parts.Metrics, configuration: parts.Configuration,
-		board: parts.Board, pool: parts.Pool, rates: parts.Rates, budgets: parts.Budgets, histories: parts.Histories, window: parts.Window,
+		board: parts.Board, pool: parts.Pool, suspects: parts.Suspects, rates: parts.Rates, budgets: parts.Budgets, histories: parts.Histories, window: parts.Window,
 	}
 }
 
@@ -107,6 +109,7 @@
 	arrived   time.Time
 	deadline  time.Time
 	body      []byte
+	digest    uint64 // of the content, by which a request that crashes targets is known again
 	tried     []string
 	runs      int            // targets that may have run the request
 	charged   bool           // a token of the workspace's rate was taken
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/apex/log"
@@ -106,7 +107,7 @@
 		}
 		visit.done(target, outcome)
 		if ctx.Err() == nil {
-			front.logger.WithFields(visit.fields()).WithField("target", target.ID).WithError(err).Info("target gave no answer")
+			visit.lost(ctx, target, err)
 		}
 		if ctx.Err() == nil && visit.mayRunAgain() {
 			front.metrics.Retried("answer_lost")
@@ -122,6 +123,19 @@
 	return nil
 }
 
+// lost notes a target that closed the connection without an answer. If it no
+// longer listens, the request may have crashed it.
+func (visit *visit) lost(ctx context.Context, target placement.Target, err error) {
+	front := visit.front
+	var timeout net.Error
+	crashed := !(errors.As(err, &timeout) && timeout.Timeout()) && !front.pool.Listens(ctx, target.Address)
+	if crashed {
+		front.suspects.Crashed(visit.digest, front.clock.Now())
+		front.metrics.Count("target_crashes")
+	}
+	front.logger.WithFields(visit.fields()).WithFields(log.Fields{"target": target.ID, "crashed": crashed}).WithError(err).Info("target gave no answer")
+}
+
 // mayRunAgain reports whether another target may run the request.
 func (visit *visit) mayRunAgain() bool {
 	return visit.route.Idempotent() && visit.runs < visit.route.Attempts && visit.timeLeft().Milliseconds() > stillShort
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -12,10 +12,11 @@
 
 // Pauses after which a refused caller may return.
 const (
-	startPause = 500 * time.Millisecond // a starting host reads its configuration
-	stalePause = 300 * time.Millisecond // other hosts may have a later version
-	busyPause  = 150 * time.Millisecond // a slot of an engine is free again after about a turn
-	storePause = time.Second            // outages of the store and of data centres last for seconds
+	startPause      = 500 * time.Millisecond // a starting host reads its configuration
+	stalePause      = 300 * time.Millisecond // other hosts may have a later version
+	busyPause       = 150 * time.Millisecond // a slot of an engine is free again after about a turn
+	quarantinePause = 30 * time.Second
+	storePause      = time.Second // outages of the store and of data centres last for seconds
 )
 
 // rejection is an answer of the scheduler's own.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	transport     *peer.Transport
 	board         *placement.Board
 	pool          *outbound.Pool
+	suspects      *placement.Suspects
 	configuration *configuration
 	targets       *targets
 	front         *front.Front
@@ -93,7 +94,7 @@
 func New(settings platform.Settings, clock clockwork.Clock, logger log.Interface) *Gateway {
 	gateway := &Gateway{
 		settings: settings, clock: clock, logger: logger, metrics: metric.New(settings.Host, settings.DataCentre),
-		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre), pool: outbound.NewPool(clock),
+		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre), pool: outbound.NewPool(clock), suspects: placement.NewSuspects(),
 	}
 	gateway.ctx, gateway.cancel = context.WithCancel(context.Background())
 	gateway.own = mesh.Member{
@@ -120,7 +121,7 @@
 	gateway.targets = newTargets(clock, logger, gateway.board, gateway.store.WellSince)
 	gateway.front = front.New(front.Parts{
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
-		Board: gateway.board, Pool: gateway.pool, Rates: gateway.limiter, Budgets: gateway.counter, Histories: gateway.histories,
+		Board: gateway.board, Pool: gateway.pool, Suspects: gateway.suspects, Rates: gateway.limiter, Budgets: gateway.counter, Histories: gateway.histories,
 		Window: settings.Bounds.QuotaWindow,
 	})
 	gateway.callers = newCallers(gateway.front, logger, settings.FileDescriptors/2)
@@ -146,7 +147,7 @@
 func (gateway *Gateway) report() mesh.Status {
 	status := mesh.Status{
 		Stopping: gateway.stopping.Load(), StoreOK: gateway.store.Reached(), StoreFast: gateway.store.Fast(),
-		Load: gateway.board.Own(),
+		Load: gateway.board.Own(), Crashes: gateway.suspects.Own(gateway.clock.Now()),
 	}
 	if table := gateway.configuration.Table(); table != nil {
 		status.Version = table.Version()
@@ -157,6 +158,7 @@
 // hear takes another host's state.
 func (gateway *Gateway) hear(status mesh.Status) {
 	gateway.board.SetOthers(gateway.mesh.Load())
+	gateway.suspects.Hear(status.Member.Host, status.Crashes)
 	gateway.configuration.expect(status.Version)
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,7 +44,7 @@
 	Load      map[string]int `msgpack:"l,omitempty"` // requests under way by target
 	Stopping  bool           `msgpack:"x,omitempty"`
 	Known     []Member       `msgpack:"k,omitempty"`
-	Suspect   []string       `msgpack:"q,omitempty"` // digests of requests that crashed targets
+	Crashes   map[uint64]int `msgpack:"q,omitempty"` // crashes seen by the digest of the request that ran
 }
 
 // member is a host with what it last told.
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -120,6 +120,17 @@
 	return fail(true, errors.New("only answers to other requests came"))
 }
 
+// Listens reports whether a target accepts connections.
+func (pool *Pool) Listens(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	socket.Close()
+	return true
+}
+
 // Finish gives the connection back after the whole body has been read.
 func (answer *Answer) Finish() {
 	if !answer.stop() || answer.Close || answer.ContentLength < 0 && !chunked(answer.Response) {
