Do not take the store for lost when callers have little time left

Calls whose own callers had run out of time marked the store as lost, and each mark began the time that entries have to return anew.

Ruled out: the poll (other hosts removed the target within 0.3 s); a lost record (the host had read it).

Change: only calls that had the full time of a direct call count; entries are swept at each read; a target whose entry is missing is used last.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -52,7 +52,10 @@
 	}
 	if visit.workspace != nil {
 		limit := quota.Limit{Rate: visit.workspace.Rate, Burst: visit.workspace.Burst, Window: front.window}
-		if admitted, retry := front.rates.Admit(incoming.Context(), visit.workspace.Name, limit, decoded.Program, visit.route.Name, visit.route.Priority == 0); !admitted {
+		begun := front.clock.Now()
+		admitted, retry := front.rates.Admit(incoming.Context(), visit.workspace.Name, limit, decoded.Program, visit.route.Name, visit.route.Priority == 0)
+		visit.waited += front.clock.Since(begun)
+		if !admitted {
 			return refuse(http.StatusTooManyRequests, "rate_exceeded").after(retry)
 		}
 		visit.charged = true
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -112,6 +112,7 @@
 	digest    uint64 // of the content, by which a request that crashes targets is known again
 	tried     []string
 	runs      int            // targets that may have run the request
+	waited    time.Duration  // for the store and other hosts
 	charged   bool           // a token of the workspace's rate was taken
 	settle    func(used int) // ends the reservation of a turn
 }
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -67,6 +67,9 @@
 
 // send exchanges the request with a target.
 func (visit *visit) send(ctx context.Context, target placement.Target, lastEvent string) (*outbound.Answer, request.Answer, error) {
+	if len(visit.tried) == 0 {
+		visit.front.metrics.Latency("dispatch_delay", visit.front.clock.Since(visit.arrived)-visit.waited)
+	}
 	visit.tried = append(visit.tried, target.ID)
 	attempt := visit.request.Attempt
 	belongs := func(status int, header http.Header) bool {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -36,9 +36,11 @@
 // stream serves a request whose answer is a series of events. Only whole
 // events go on. A resumable stream continues on another target.
 func (visit *visit) stream(ctx context.Context) *rejection {
+	begun := visit.front.clock.Now()
 	if refused := visit.prepareTurn(ctx); refused != nil {
 		return refused
 	}
+	visit.waited += visit.front.clock.Since(begun)
 	relayed := &relayed{visit: visit, lastEvent: visit.request.LastEvent, keeps: visit.route.KeepsHistory}
 	defer func() {
 		if visit.settle != nil {
@@ -112,6 +114,7 @@
 		if err != nil {
 			return err
 		}
+		read := visit.front.clock.Now()
 		if !relayed.started {
 			relayed.started = true
 			visit.head(answer)
@@ -123,6 +126,7 @@
 		if err := controller.Flush(); err != nil {
 			return err
 		}
+		visit.front.metrics.Latency("event_delay", visit.front.clock.Since(read))
 		if event.id != "" {
 			relayed.lastEvent = event.id
 		}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -203,7 +203,6 @@
 	path     string
 	key      string
 	body     string
-	attempt  string
 	program  string
 	previous string
 	budget   int
@@ -225,51 +224,12 @@
 
 // ask sends a request to a host over a connection of its own.
 func (host *testHost) ask(request asked) answered {
-	if request.attempt == "" {
-		request.attempt = "a" + strconv.FormatInt(attempts.Add(1), 10)
-	}
-	if request.method == "" {
-		request.method = http.MethodPost
-	}
-	if request.limit == 0 {
-		request.limit = 3 * time.Second
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), request.limit+2*time.Second)
-	defer cancel()
-	sent, err := http.NewRequestWithContext(ctx, request.method, "http://"+host.settings.CallerAddress+request.path, strings.NewReader(request.body))
-	if err != nil {
-		return answered{err: err}
-	}
-	sent.Host = hostName
-	sent.Header.Set("Godwitspread-Attempt-Id", request.attempt)
-	sent.Header.Set("Godwitspread-Deadline-Ms", strconv.FormatInt(request.limit.Milliseconds(), 10))
-	if request.key != "" {
-		sent.Header.Set("Authorization", "Bearer "+request.key)
-	}
-	if request.program != "" {
-		sent.Header.Set("Godwitspread-Program-Id", request.program)
-		sent.Header.Set("Godwitspread-Session-Id", request.program)
-	}
-	if request.previous != "" {
-		sent.Header.Set("Godwitspread-Previous-Turn", request.previous)
-	}
-	if request.budget > 0 {
-		sent.Header.Set("Godwitspread-Token-Budget", strconv.Itoa(request.budget))
-		sent.Header.Set("Godwitspread-Token-Count", fmt.Sprintf("100,%d", request.tokens))
-	}
-	for name, value := range request.header {
-		sent.Header.Set(name, value)
-	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	response, err := client.Do(sent)
-	if err != nil {
-		return answered{err: err, attempt: request.attempt}
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return answered{
-		status: response.StatusCode, body: string(body), header: response.Header, attempt: request.attempt, whole: err == nil, err: err,
-	}
+	answer := standin.Ask(host.settings.CallerAddress, standin.Asked{
+		Method: request.method, HostName: hostName, Path: request.path, Key: request.key, Body: request.body,
+		Attempt: "a" + strconv.FormatInt(attempts.Add(1), 10), Program: request.program, Previous: request.previous,
+		Budget: request.budget, Tokens: request.tokens, Limit: request.limit, Header: request.header,
+	})
+	return answered{status: answer.Status, body: answer.Body, header: answer.Header, attempt: answer.Attempt, whole: answer.Whole, err: answer.Err}
 }
 
 // ran returns how often an attempt ran on the fleet's targets.
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -60,6 +61,7 @@
 // sweep removes missing targets once the store has been well for long enough
 // that a live one would have renewed its entry.
 func (targets *targets) sweep() {
+	defer func() { targets.board.SetMissing(maps.Clone(targets.missing)) }()
 	since, well := targets.well()
 	if !well || targets.clock.Since(since) < returnTime {
 		return
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -70,7 +70,7 @@
 // Gauge sets a level.
 func (metrics *Metrics) Gauge(name string, value float64) { metrics.scope.Gauge(name).Update(value) }
 
-var latencies = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
+var latencies = tally.MustMakeExponentialDurationBuckets(50*time.Microsecond, 2, 21)
 
 // Latency records how long something took.
 func (metrics *Metrics) Latency(name string, duration time.Duration) {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -35,6 +35,7 @@
 	groups  map[string][]*seat // by service
 	homes   map[string]home    // last target by affinity
 	silent  map[string]bool    // data centres that are not heard
+	missing map[string]bool    // targets whose entries are gone, but may return
 }
 
 type seat struct {
@@ -141,7 +142,7 @@
 			continue
 		}
 		cost := seat.cost(board.dataCentre, now)
-		if board.silent[seat.target.DataCentre] {
+		if board.silent[seat.target.DataCentre] || board.missing[seat.target.ID] {
 			cost += avoidCost
 		}
 		if request.Affinity != "" && seat.target.ID == preferred {
@@ -245,6 +246,14 @@
 	board.silent = dataCentres
 }
 
+// SetMissing replaces the targets whose entries are gone but may return; they
+// are used last.
+func (board *Board) SetMissing(ids map[string]bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.missing = ids
+}
+
 // Own returns the requests of this host under way, by target.
 func (board *Board) Own() map[string]int {
 	board.mutex.Lock()
--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -42,6 +42,10 @@
 			board.Choose(Request{Service: "s", Tried: []string{"near"}, Affinity: "x"}, now)
 			board.SetOthers(map[string]int{"far": 8})
 		}, Request{Service: "s", Affinity: "x"}, "near"},
+		{"missing one last", func(board *Board) {
+			board.SetOthers(map[string]int{"far": 9})
+			board.SetMissing(map[string]bool{"near": true})
+		}, Request{Service: "s"}, "far"},
 		{"silent data centre last", func(board *Board) {
 			board.SetOthers(map[string]int{"near": 9})
 			board.SetSilent(map[string]bool{"b": true})
--- a/internal/store/failover.go
+++ b/internal/store/failover.go
@@ -116,6 +116,7 @@
 func attempt[T any](ctx context.Context, failover *Failover, wait time.Duration, call func(context.Context, Store) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	begun := failover.clock.Now()
 	results := make(chan result[T], maxPaths)
 	paths := failover.paths()
 	started, running := 0, 0
@@ -149,7 +150,8 @@
 				next()
 			}
 		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// A caller with little time left says nothing about the store.
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) && failover.clock.Since(begun) >= directLimit {
 				failover.served(false)
 			}
 			var none T
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -20,7 +20,8 @@
 	Part   int
 	Wait   time.Duration // how long a read waits for a record
 	Pause  time.Duration // least time between two reads
-	// Apply takes records in order. A whole listing replaces what was known.
+	// Apply takes the records of each read in order, be there any or none. A
+	// whole listing replaces what was known.
 	Apply func(records []Record, whole bool)
 
 	confirmed atomic.Int64 // Unix nanoseconds of the start of the last good read
@@ -120,8 +121,6 @@
 	if err != nil {
 		return from, err
 	}
-	if len(page.Records) > 0 {
-		follower.Apply(page.Records, false)
-	}
+	follower.Apply(page.Records, false)
 	return page.Next, nil
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -183,3 +183,25 @@
 	_, well = failover.WellSince()
 	is.True(!well)
 }
+
+// TestHastyCaller replays callers with little time left on a slow store: they
+// do not make the store count as lost.
+func TestHastyCaller(t *testing.T) {
+	is := is.New(t)
+	direct := &scripted{}
+	failover := NewFailover(direct, func() []Path { return nil }, clockwork.NewRealClock(), quiet)
+	_, err := failover.Append(context.Background(), Append{Topic: "t"})
+	is.NoErr(err)
+	before, well := failover.WellSince()
+	is.True(well)
+	direct.mutex.Lock()
+	direct.delay = 60 * time.Millisecond
+	direct.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err = failover.Append(ctx, Append{Topic: "t"})
+	is.True(err != nil)
+	after, well := failover.WellSince()
+	is.True(well)
+	is.Equal(after, before)
+}
