--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 
 run: build
 	./bin/godwitspread-bench demo
+	./bin/godwitspread-bench day --kill
 
 test:
 	go test -race -timeout 15m ./...
--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -42,6 +42,7 @@
 		{"load", "Run programs against entry hosts on this machine", &loadCommand{tool: tool}},
 		{"slopes", "Measure the slopes of the capacity page", &slopesCommand{tool: tool}},
 		{"rates", "Measure how workspaces are counted, in virtual time", &ratesCommand{tool: tool}},
+		{"day", "Run programs over entry hosts on the platform's protocol, on stand-ins", &dayCommand{tool: tool}},
 		{"demo", "Run three hosts, kill an owner, and show that nothing was lost or doubled", &demoCommand{tool: tool}},
 	}
 	for _, each := range commands {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -200,10 +200,12 @@
 			if len(read.raw) > maxEvent {
 				return event{}, errors.New("event is too large")
 			}
-			// Long lines hold data; the rest of the line is taken whole.
+			// Long lines hold data; the rest of the line is taken whole. It
+			// overwrites what the reader has returned so far.
+			line = bytes.Clone(line)
 			rest, err := reader.ReadBytes('\n')
 			read.raw = append(read.raw, rest...)
-			line = append(bytes.Clone(line), rest...)
+			line = append(line, rest...)
 			if err != nil {
 				return event{}, cut(err)
 			}
--- /dev/null
+++ b/internal/gateway/added_test.go
@@ -0,0 +1,76 @@
+package gateway_test
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/gateway"
+	"github.com/godwitspread/godwitspread/platform"
+	"github.com/godwitspread/godwitspread/platform/standin"
+)
+
+// BenchmarkAddedTime compares calls through a host with calls straight to a
+// target, and reports what the host adds at the median.
+func BenchmarkAddedTime(b *testing.B) {
+	deployment, err := standin.NewDeployment(1, 1, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer deployment.Close()
+	path, err := deployment.Path("host-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	const ip = "127.91.0.1"
+	host := gateway.New(platform.Settings{
+		Host: "host-1", DataCentre: "dc-1", IP: ip, CallerAddress: ip + ":7001", ReadyAddress: ip + ":7002", PeerPort: 7004, MetricsPort: 7005,
+		MemoryBytes: 128 << 20, FileDescriptors: 1000, PeerSecret: "a secret of many characters",
+		Store:  platform.StoreSettings{Address: path, Partitions: 8},
+		Bounds: platform.Bounds{Grace: 3 * time.Second, Configuration: 2 * time.Second, QuotaWindow: 5 * time.Second},
+	}, clockwork.NewRealClock(), &log.Logger{Handler: discard.Default})
+	if err := host.Start(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	defer host.Kill()
+	for !host.Status().Ready {
+		time.Sleep(10 * time.Millisecond)
+	}
+	tests := []struct {
+		name   string
+		path   string
+		target *standin.Target
+	}{
+		{"call", "/lookup/x", deployment.Tools[0]},
+		{"stream", "/summary/x", deployment.Engines[0]},
+	}
+	for _, test := range tests {
+		b.Run(test.name, func(b *testing.B) {
+			measure := func(address string) time.Duration {
+				var took []time.Duration
+				for range 200 {
+					answer := standin.Ask(address, standin.Asked{
+						HostName: standin.DeploymentHost, Path: test.path, Key: standin.DeploymentKey, Attempt: "b" + strconv.FormatInt(attempts.Add(1), 10),
+					})
+					if answer.Err != nil || answer.Status != 200 {
+						b.Fatalf("status %d: %v", answer.Status, answer.Err)
+					}
+					took = append(took, answer.Took)
+				}
+				sort.Slice(took, func(a, b int) bool { return took[a] < took[b] })
+				return took[len(took)/2]
+			}
+			for b.Loop() {
+				straight := measure(test.target.Address)
+				through := measure(ip + ":7001")
+				b.ReportMetric(float64((through - straight).Microseconds()), "added-us")
+			}
+		})
+	}
+}
