Drop what is over from the store

Cause: turns and parts of budgets stayed in the store for good; at 300 KB a second its 400 MB would be full after 22 minutes.

Change: each partition is swept by one host every 90 s. A chain is kept as long as its newest turn, and half a minute more for a turn under way; parts of budgets go three minutes after the last request of their program.

Ruled out: dropping each turn after a multiple of its own retention (the root of a long conversation would go while it goes on).

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -37,11 +37,13 @@
 
 	mutex  sync.Mutex
 	serial int64
-	open   map[int64]bool // entries of this host that have not been read back
+	open   map[int64]bool      // entries of this host that have not been read back
+	keys   map[string][]string // of this host's entries, by program
+	expiry *store.Expiry
 }
 
-func newBook(reading store.Store, writer *store.Writer, clock clockwork.Clock, holder string, partitions int, credit func(program string, held int)) *book {
-	book := &book{store: reading, writer: writer, clock: clock, holder: holder, credit: credit, open: make(map[int64]bool)}
+func newBook(reading store.Store, writer *store.Writer, clock clockwork.Clock, holder string, partitions int, credit func(program string, held int), expiry *store.Expiry) *book {
+	book := &book{store: reading, writer: writer, clock: clock, holder: holder, credit: credit, open: make(map[int64]bool), keys: make(map[string][]string), expiry: expiry}
 	for range partitions {
 		book.parts = append(book.parts, &partition{ledger: newLedger(), next: -1})
 	}
@@ -59,6 +61,8 @@
 	book.serial++
 	serial := book.serial
 	book.open[serial] = true
+	key := fmt.Sprintf("%s|%s|%d", program, book.holder, serial)
+	book.keys[program] = append(book.keys[program], key)
 	book.mutex.Unlock()
 	value, err := codec.Marshal(entry{
 		Program: program, Holder: book.holder, Budget: budget, Tokens: tokens, Written: book.clock.Now().UnixMilli(), Serial: serial,
@@ -66,7 +70,6 @@
 	if err != nil {
 		return err
 	}
-	key := fmt.Sprintf("%s|%s|%d", program, book.holder, serial)
 	offset, err := book.writer.Append(ctx, Topic, number, store.Record{Key: key, Value: value})
 	if err != nil {
 		return err
@@ -143,6 +146,29 @@
 	return part.ledger.taken(program), part.ledger.holders(program, book.holder)
 }
 
+// drop has this host's entries of a program that is over dropped.
+func (book *book) drop(program string) {
+	book.mutex.Lock()
+	keys := book.keys[program]
+	delete(book.keys, program)
+	book.mutex.Unlock()
+	if len(keys) > 0 {
+		book.expiry.Drop(Topic, book.partOf(program), 0, keys...)
+	}
+}
+
+// Over picks the keys of entries so old that their programs are over.
+func Over(records []store.Record, now time.Time) []string {
+	var keys []string
+	for _, record := range records {
+		var one entry
+		if err := codec.Unmarshal(record.Value, &one); err == nil && now.Sub(time.UnixMilli(one.Written)) > ledgerTime {
+			keys = append(keys, record.Key)
+		}
+	}
+	return keys
+}
+
 // forget drops programs that are over from memory.
 func (book *book) forget(before time.Time) {
 	for _, part := range book.parts {
--- a/internal/budget/purses.go
+++ b/internal/budget/purses.go
@@ -17,9 +17,10 @@
 var ErrSpent = errors.New("budget of the program is spent")
 
 const (
-	sliceShare = 0.4             // of a budget that a host takes at most beyond what it needs
-	sliceTurns = 2               // turns at their largest that a host takes: a host that is lost forfeits no more
-	memoryTime = 3 * time.Minute // longer than any route remembers a program
+	sliceShare = 0.4              // of a budget that a host takes at most beyond what it needs
+	sliceTurns = 2                // turns at their largest that a host takes: a host that is lost forfeits no more
+	memoryTime = 3 * time.Minute  // longer than any route remembers a program that makes no requests
+	ledgerTime = 30 * time.Minute // without a taking, after which a program is over: its parts are small
 )
 
 // ErrStoreLost reports that more of a budget cannot be taken now.
@@ -55,9 +56,9 @@
 }
 
 // NewPurses returns purses of a host. The holder is the host's incarnation.
-func NewPurses(reading store.Store, writer *store.Writer, clock clockwork.Clock, logger log.Interface, holder string, partitions int, recall Recaller, reachable func() bool) *Purses {
+func NewPurses(reading store.Store, writer *store.Writer, clock clockwork.Clock, logger log.Interface, holder string, partitions int, recall Recaller, reachable func() bool, expiry *store.Expiry) *Purses {
 	purses := &Purses{clock: clock, logger: logger, recall: recall, reachable: reachable, purses: make(map[string]*purse)}
-	purses.book = newBook(reading, writer, clock, holder, partitions, purses.credit)
+	purses.book = newBook(reading, writer, clock, holder, partitions, purses.credit, expiry)
 	return purses
 }
 
@@ -199,11 +200,12 @@
 		one.counts.Lock()
 		if one.reserved == 0 && one.used.Before(before) {
 			delete(purses.purses, program)
+			purses.book.drop(program)
 		}
 		one.counts.Unlock()
 	}
 	purses.mutex.Unlock()
-	purses.book.forget(before)
+	purses.book.forget(purses.clock.Now().Add(-ledgerTime))
 }
 
 func (purse *purse) reserve(tokens int, now time.Time) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 
 const (
 	hostsWait      = 10 * time.Second
+	sweepInterval  = 90 * time.Second // turns are kept for about a minute
 	watchInterval  = 100 * time.Millisecond
 	historyShare   = 0.2 // of the host's memory that turns may take
 	tidyInterval   = 2 * time.Second
@@ -51,6 +52,7 @@
 	store         *store.Failover
 	direct        *platform.Store
 	writer        *store.Writer
+	expiry        *store.Expiry
 	limiter       *quota.Limiter
 	purses        *budget.Purses
 	counter       *budget.Counter
@@ -104,8 +106,9 @@
 	gateway.mesh = mesh.New(gateway.own, clock, logger, gateway.report, gateway.hear)
 	gateway.store = store.NewFailover(gateway.direct, gateway.mesh.Relays, clock, logger)
 	gateway.writer = store.NewWriter(gateway.ctx, gateway.store, clock, logger, gateway.own.Incarnation)
+	gateway.expiry = store.NewExpiry(gateway.writer, clock, logger)
 	partitions := settings.Store.Partitions
-	gateway.purses = budget.NewPurses(gateway.store, gateway.writer, clock, logger, gateway.own.Incarnation, partitions, gateway.mesh.Recall, gateway.store.Reachable)
+	gateway.purses = budget.NewPurses(gateway.store, gateway.writer, clock, logger, gateway.own.Incarnation, partitions, gateway.mesh.Recall, gateway.store.Reachable, gateway.expiry)
 	gateway.limiter = quota.NewLimiter(gateway.mesh, clock, gateway.metrics)
 	gateway.counter = budget.NewCounter(gateway.purses, gateway.mesh, clock, gateway.metrics)
 	gateway.histories = history.New(history.Parts{
@@ -181,6 +184,8 @@
 	go gateway.mesh.Run(ctx)
 	go gateway.tidy(ctx)
 	go gateway.watch(ctx)
+	go gateway.expiry.Run(ctx)
+	go gateway.sweep(ctx)
 	if err := gateway.callers.listen(gateway.settings.CallerAddress); err != nil {
 		return fmt.Errorf("listen for callers on %q: %w", gateway.settings.CallerAddress, err)
 	}
@@ -245,6 +250,34 @@
 	}
 }
 
+// sweep drops what is over from the store. Each partition is swept by one host.
+func (gateway *Gateway) sweep(ctx context.Context) {
+	ticker := gateway.clock.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	topics := []struct {
+		name string
+		over func([]store.Record, time.Time) []string
+	}{{budget.Topic, budget.Over}, {history.Topic, history.Over}}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		for _, topic := range topics {
+			for part := range gateway.settings.Store.Partitions {
+				if _, self := gateway.mesh.Home(fmt.Sprintf("%s/%d", topic.name, part)); !self {
+					continue
+				}
+				over := func(records []store.Record) []string { return topic.over(records, gateway.clock.Now()) }
+				if err := gateway.expiry.Sweep(ctx, gateway.store, topic.name, part, over); err != nil && ctx.Err() == nil {
+					gateway.logger.WithError(err).WithFields(log.Fields{"topic": topic.name, "part": part}).Warn("partition not swept")
+				}
+			}
+		}
+	}
+}
+
 // watch notices when this host is cut off with its data centre, or alone.
 func (gateway *Gateway) watch(ctx context.Context) {
 	ticker := gateway.clock.NewTicker(watchInterval)
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +23,48 @@
 	textPrefix = "t/" // key of a turn: the root and the turn's id follow
 )
 
+// turnMargin is the longest time of a turn that continues a chain as it ends.
+const turnMargin = 30 * time.Second
+
+// Over picks the keys of chains that are over: a chain is kept for the
+// retention of its newest turn.
+func Over(records []store.Record, now time.Time) []string {
+	until := make(map[string]time.Time) // by root
+	for _, record := range records {
+		if root, ok := rootOfKey(record.Key); ok {
+			var turn Turn
+			if err := codec.Unmarshal(record.Value, &turn); err != nil {
+				// Nobody can read it; the chain's other turns decide.
+				continue
+			}
+			if kept := turn.until(); kept.After(until[root]) {
+				until[root] = kept
+			}
+		}
+	}
+	var keys []string
+	for _, record := range records {
+		root, ok := rootOfKey(record.Key)
+		if !ok {
+			root = string(record.Value)
+		}
+		if now.After(until[root].Add(turnMargin)) {
+			keys = append(keys, record.Key)
+		}
+	}
+	return keys
+}
+
+// rootOfKey returns the root in the key of a turn.
+func rootOfKey(key string) (string, bool) {
+	rest, ok := strings.CutPrefix(key, textPrefix)
+	if !ok {
+		return "", false
+	}
+	root, _, _ := strings.Cut(rest, "/")
+	return root, true
+}
+
 // ErrNotDurable reports that the store cannot keep a turn now.
 var ErrNotDurable = errors.New("store is not reached, so no turn can be kept")
 
