Try another target when one does not begin to answer

Change: safe requests and resumable streams go to another target, within their attempts, when the first has not begun to answer after twice the objective, and at least 0.4 s (streams 1 s). The refusal says why the outcome is unknown.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -6,19 +6,26 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/apex/log"
 
 	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/request"
+	"github.com/godwitspread/godwitspread/internal/route"
 	"github.com/godwitspread/godwitspread/platform"
 )
 
 const (
-	maxSends   = 4       // targets tried for one attempt, those that did not run it included
-	maxPlain   = 8 << 20 // bytes of an answer that is read whole before it goes on
-	stillShort = 20      // milliseconds left below which no further target is tried
+	maxSends = 4       // targets tried for one attempt, those that did not run it included
+	maxPlain = 8 << 20 // bytes of an answer that is read whole before it goes on
+	// Answers of targets that are not stuck come well within these, in bursts
+	// too; callers of streams give up after two seconds.
+	patienceFactor = 2
+	plainPatience  = 400 * time.Millisecond
+	streamPatience = time.Second
+	stillShort     = 20 // milliseconds left below which no further target is tried
 )
 
 // plain serves a request with one answer, which is read whole first: a broken
@@ -76,13 +83,25 @@
 		echoed := platform.DecodeAnswer(status, header).Attempt
 		return echoed == attempt || echoed == "" && status >= http.StatusBadRequest
 	}
-	answer, err := visit.front.pool.Send(ctx, target.ID, target.Address, visit.request.Method, visit.message(target, lastEvent), belongs)
+	answer, err := visit.front.pool.Send(ctx, target.ID, target.Address, visit.request.Method, visit.message(target, lastEvent), visit.patience(), belongs)
 	if err != nil {
 		return nil, request.Answer{}, err
 	}
 	return answer, platform.DecodeAnswer(answer.StatusCode, answer.Header), nil
 }
 
+// patience is how long a target may take to begin its answer before another
+// one is tried: a multiple of the objective, for requests that may run again.
+func (visit *visit) patience() time.Duration {
+	if !visit.route.Idempotent() || visit.runs+1 >= visit.route.Attempts {
+		return 0
+	}
+	if visit.route.Kind == route.Streaming {
+		return max(streamPatience, patienceFactor*visit.route.Target)
+	}
+	return max(plainPatience, patienceFactor*visit.route.Target)
+}
+
 // settleFailure ends the request at a target that gave no usable answer. It
 // returns nil if another target may be tried.
 func (visit *visit) settleFailure(ctx context.Context, target placement.Target, answer *outbound.Answer, head request.Answer, err error) *rejection {
@@ -149,7 +168,7 @@
 	if visit.runs == 0 {
 		return refuse(http.StatusServiceUnavailable, "deadline_exceeded").after(busyPause)
 	}
-	return refuse(http.StatusGatewayTimeout, "outcome_unknown")
+	return refuse(http.StatusGatewayTimeout, "outcome_unknown").because(errors.New("the target had not answered when the time of the request was over"))
 }
 
 // exhausted answers a request that no target has served.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -102,7 +102,9 @@
 	stall := max(stallAtLeast, stallFactor*visit.route.Gap)
 	for {
 		if visit.route.Idempotent() && visit.runs+1 < visit.route.Attempts {
-			answer.SetReadLimit(stall)
+			if err := answer.SetReadLimit(ctx, stall); err != nil {
+				return err
+			}
 		}
 		event, err := readEvent(reader)
 		if cause := ctx.Err(); cause != nil {
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -82,10 +82,10 @@
 	return pool.opened
 }
 
-// Send writes a request and reads the head of its answer. The connection is
-// closed when the context ends. Answers for which belongs is false are passed
-// over.
-func (pool *Pool) Send(ctx context.Context, id, address, method string, message []byte, belongs func(status int, header http.Header) bool) (*Answer, error) {
+// Send writes a request and reads the head of its answer, for which it waits up
+// to a limit if there is one. The connection is closed when the context ends.
+// Answers for which belongs is false are passed over.
+func (pool *Pool) Send(ctx context.Context, id, address, method string, message []byte, limit time.Duration, belongs func(status int, header http.Header) bool) (*Answer, error) {
 	connection, err := pool.take(ctx, id, address)
 	if err != nil {
 		return nil, &SendError{Err: err}
@@ -102,6 +102,9 @@
 	if written, err := connection.Write(message); err != nil {
 		return fail(written > 0, err)
 	}
+	if err := pool.limitRead(ctx, connection, limit); err != nil {
+		return fail(true, err)
+	}
 	for stray := 0; stray <= maxStray; stray++ {
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
 		if err != nil {
@@ -111,6 +114,9 @@
 			continue
 		}
 		if belongs(response.StatusCode, response.Header) {
+			if err := pool.limitRead(ctx, connection, 0); err != nil {
+				return fail(true, err)
+			}
 			return &Answer{Response: response, pool: pool, conn: connection, stop: stop}, nil
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -120,6 +126,19 @@
 	return fail(true, errors.New("only answers to other requests came"))
 }
 
+// limitRead bounds the wait for the next bytes, or ends the bound. The end of
+// the context may have set a deadline meanwhile, which must stay.
+func (pool *Pool) limitRead(ctx context.Context, connection *conn, limit time.Duration) error {
+	var deadline time.Time
+	if limit > 0 {
+		deadline = time.Now().Add(limit)
+	}
+	if err := connection.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
 // Listens reports whether a target accepts connections.
 func (pool *Pool) Listens(ctx context.Context, address string) bool {
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -152,10 +171,8 @@
 }
 
 // SetReadLimit bounds the wait for the next bytes of the body.
-func (answer *Answer) SetReadLimit(wait time.Duration) {
-	// The context's end may set a deadline in the past meanwhile; the caller
-	// checks the context after each read.
-	_ = answer.conn.SetReadDeadline(time.Now().Add(wait))
+func (answer *Answer) SetReadLimit(ctx context.Context, wait time.Duration) error {
+	return answer.pool.limitRead(ctx, answer.conn, wait)
 }
 
 // keepAlive returns how long an idle connection may be used again.
