--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -60,3 +60,21 @@
 	targets.apply(nil, false)
 	is.Equal(board.Len(), 1)
 }
+
+// TestOlderConfiguration checks that an older version, or one that cannot be
+// read, never replaces the one in force.
+func TestOlderConfiguration(t *testing.T) {
+	is := is.New(t)
+	one := &configuration{clock: clockwork.NewFakeClock(), logger: &log.Logger{Handler: discard.Default}}
+	record := func(text string) []store.Record { return []store.Record{{Key: "config", Value: []byte(text)}} }
+	one.apply(record(`{"version":5}`), true)
+	for _, text := range []string{`{"version":4}`, `{"version":5}`, `not readable`, `{"version":"6"}`} {
+		before := one.Table()
+		one.apply(record(text), false)
+		is.Equal(one.Table(), before) // text
+	}
+	one.apply([]store.Record{{Key: "config"}}, false) // dropped
+	is.Equal(one.Table().Version(), int64(5))
+	one.apply(record(`{"version":9}`), false)
+	is.Equal(one.Table().Version(), int64(9))
+}
