Serve other hosts' calls from a table, and run periodic duties in one place

Read as a newcomer would: one switch of 60 lines and five ticker loops are a table and duty.Every now; the parts of purses are a struct; duties have a file.

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -42,9 +42,12 @@
 	expiry *store.Expiry
 }
 
-func newBook(reading store.Store, writer *store.Writer, clock clockwork.Clock, holder string, partitions int, credit func(program string, held int), expiry *store.Expiry) *book {
-	book := &book{store: reading, writer: writer, clock: clock, holder: holder, credit: credit, open: make(map[int64]bool), keys: make(map[string][]string), expiry: expiry}
-	for range partitions {
+func newBook(parts Parts, credit func(program string, held int)) *book {
+	book := &book{
+		store: parts.Store, writer: parts.Writer, expiry: parts.Expiry, clock: parts.Clock, holder: parts.Holder, credit: credit,
+		open: make(map[int64]bool), keys: make(map[string][]string),
+	}
+	for range parts.Partitions {
 		book.parts = append(book.parts, &partition{ledger: newLedger(), next: -1})
 	}
 	return book
--- a/internal/budget/protocol_test.go
+++ b/internal/budget/protocol_test.go
@@ -103,7 +103,10 @@
 	clock := clockwork.NewRealClock()
 	logger := &log.Logger{Handler: discard.Default}
 	writer := store.NewWriter(ctx, trial.store, clock, logger, holder)
-	trial.hosts[number] = NewPurses(trial.store, writer, clock, logger, holder, 1, trial.recall, func() bool { return true }, store.NewExpiry(writer, clock, logger))
+	trial.hosts[number] = NewPurses(Parts{
+		Store: trial.store, Writer: writer, Expiry: store.NewExpiry(writer, clock, logger), Clock: clock, Logger: logger, Holder: holder,
+		Partitions: 1, Recall: trial.recall, Reachable: func() bool { return true },
+	})
 }
 
 func (trial *trial) recall(ctx context.Context, holder, program string) (int, bool, error) {
--- a/internal/budget/purses.go
+++ b/internal/budget/purses.go
@@ -55,10 +55,25 @@
 	used     time.Time
 }
 
-// NewPurses returns purses of a host. The holder is the host's incarnation.
-func NewPurses(reading store.Store, writer *store.Writer, clock clockwork.Clock, logger log.Interface, holder string, partitions int, recall Recaller, reachable func() bool, expiry *store.Expiry) *Purses {
-	purses := &Purses{clock: clock, logger: logger, recall: recall, reachable: reachable, purses: make(map[string]*purse)}
-	purses.book = newBook(reading, writer, clock, holder, partitions, purses.credit, expiry)
+// Parts are what purses work with.
+type Parts struct {
+	Store      store.Store
+	Writer     *store.Writer
+	Expiry     *store.Expiry
+	Clock      clockwork.Clock
+	Logger     log.Interface
+	Holder     string // incarnation of the host
+	Partitions int
+	Recall     Recaller
+	Reachable  func() bool // whether the store can be called
+}
+
+// NewPurses returns purses of a host.
+func NewPurses(parts Parts) *Purses {
+	purses := &Purses{
+		clock: parts.Clock, logger: parts.Logger, recall: parts.Recall, reachable: parts.Reachable, purses: make(map[string]*purse),
+	}
+	purses.book = newBook(parts, purses.credit)
 	return purses
 }
 
--- /dev/null
+++ b/internal/gateway/duties.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/godwitspread/godwitspread/internal/budget"
+	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/history"
+	"github.com/godwitspread/godwitspread/internal/mesh"
+	"github.com/godwitspread/godwitspread/internal/store"
+)
+
+const (
+	tidyInterval  = 2 * time.Second
+	sweepInterval = 90 * time.Second // turns are kept for about a minute
+	watchInterval = 100 * time.Millisecond
+)
+
+// enter writes this host's entry.
+func (gateway *Gateway) enter() {
+	value, err := codec.Marshal(gateway.own)
+	if err != nil {
+		gateway.logger.WithError(err).Error("entry of this host cannot be written")
+		return
+	}
+	if _, err := gateway.writer.Append(gateway.ctx, mesh.Topic, 0, store.Record{Key: gateway.own.Host, Value: value}); err != nil && gateway.ctx.Err() == nil {
+		gateway.logger.WithError(err).Error("entry of this host was not written")
+	}
+}
+
+// tidy drops what is no longer needed from memory.
+func (gateway *Gateway) tidy() {
+	gateway.counter.Tidy()
+	known := make(map[string]bool)
+	for _, id := range gateway.board.IDs() {
+		known[id] = true
+	}
+	gateway.pool.Forget(func(id string) bool { return known[id] })
+}
+
+// sweep drops what is over from the store. Each partition is swept by one host.
+func (gateway *Gateway) sweep() {
+	topics := []struct {
+		name string
+		over func([]store.Record, time.Time) []string
+	}{{budget.Topic, budget.Over}, {history.Topic, history.Over}}
+	for _, topic := range topics {
+		for part := range gateway.settings.Store.Partitions {
+			if _, self := gateway.mesh.Home(fmt.Sprintf("%s/%d", topic.name, part)); !self {
+				continue
+			}
+			over := func(records []store.Record) []string { return topic.over(records, gateway.clock.Now()) }
+			if err := gateway.expiry.Sweep(gateway.ctx, gateway.store, topic.name, part, over); err != nil && gateway.ctx.Err() == nil {
+				gateway.logger.WithError(err).WithFields(log.Fields{"topic": topic.name, "part": part}).Warn("partition not swept")
+			}
+		}
+	}
+}
+
+// watch notices when this host is cut off with its data centre, or alone.
+func (gateway *Gateway) watch() {
+	gateway.board.SetSilent(gateway.mesh.SilentDataCentres())
+	isolated := !gateway.store.Reachable() && !gateway.mesh.Elsewhere()
+	if gateway.isolated.Swap(isolated) == isolated {
+		return
+	}
+	if isolated {
+		gateway.logger.Warn("cut off from the store and all other data centres; leaving the rotation")
+	} else {
+		gateway.logger.Info("no longer cut off; taking callers again")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,7 @@
 	"go.uber.org/fx"
 
 	"github.com/godwitspread/godwitspread/internal/budget"
-	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/duty"
 	"github.com/godwitspread/godwitspread/internal/front"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/mesh"
@@ -34,10 +34,7 @@
 
 const (
 	hostsWait      = 10 * time.Second
-	sweepInterval  = 90 * time.Second // turns are kept for about a minute
-	watchInterval  = 100 * time.Millisecond
-	historyShare   = 0.2 // of the host's memory that turns may take
-	tidyInterval   = 2 * time.Second
+	historyShare   = 0.2                     // of the host's memory that turns may take
 	targetInterval = 300 * time.Millisecond  // between reads of the targets' entries; well inside the time to stop using a leaving one
 	balancerLag    = 2500 * time.Millisecond // two missed questions, a second apart, take a host out of rotation
 	stopMargin     = time.Second             // kept back from the grace period for the end of the process
@@ -96,7 +93,8 @@
 func New(settings platform.Settings, clock clockwork.Clock, logger log.Interface) *Gateway {
 	gateway := &Gateway{
 		settings: settings, clock: clock, logger: logger, metrics: metric.New(settings.Host, settings.DataCentre),
-		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre), pool: outbound.NewPool(clock), suspects: placement.NewSuspects(),
+		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre),
+		pool: outbound.NewPool(clock), suspects: placement.NewSuspects(),
 	}
 	gateway.ctx, gateway.cancel = context.WithCancel(context.Background())
 	gateway.own = mesh.Member{
@@ -108,7 +106,10 @@
 	gateway.writer = store.NewWriter(gateway.ctx, gateway.store, clock, logger, gateway.own.Incarnation)
 	gateway.expiry = store.NewExpiry(gateway.writer, clock, logger)
 	partitions := settings.Store.Partitions
-	gateway.purses = budget.NewPurses(gateway.store, gateway.writer, clock, logger, gateway.own.Incarnation, partitions, gateway.mesh.Recall, gateway.store.Reachable, gateway.expiry)
+	gateway.purses = budget.NewPurses(budget.Parts{
+		Store: gateway.store, Writer: gateway.writer, Expiry: gateway.expiry, Clock: clock, Logger: logger, Holder: gateway.own.Incarnation,
+		Partitions: partitions, Recall: gateway.mesh.Recall, Reachable: gateway.store.Reachable,
+	})
 	gateway.limiter = quota.NewLimiter(gateway.mesh, clock, gateway.metrics)
 	gateway.counter = budget.NewCounter(gateway.purses, gateway.mesh, clock, gateway.metrics)
 	gateway.histories = history.New(history.Parts{
@@ -124,7 +125,8 @@
 	gateway.targets = newTargets(clock, logger, gateway.board, gateway.store.WellSince)
 	gateway.front = front.New(front.Parts{
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
-		Board: gateway.board, Pool: gateway.pool, Suspects: gateway.suspects, Rates: gateway.limiter, Budgets: gateway.counter, Histories: gateway.histories,
+		Board: gateway.board, Pool: gateway.pool, Suspects: gateway.suspects,
+		Rates: gateway.limiter, Budgets: gateway.counter, Histories: gateway.histories,
 		Window: settings.Bounds.QuotaWindow,
 	})
 	gateway.callers = newCallers(gateway.front, logger, settings.FileDescriptors/2)
@@ -182,10 +184,10 @@
 	}
 	go gateway.enter()
 	go gateway.mesh.Run(ctx)
-	go gateway.tidy(ctx)
-	go gateway.watch(ctx)
+	go duty.Every(ctx, gateway.clock, tidyInterval, gateway.tidy)
+	go duty.Every(ctx, gateway.clock, watchInterval, gateway.watch)
 	go gateway.expiry.Run(ctx)
-	go gateway.sweep(ctx)
+	go duty.Every(ctx, gateway.clock, sweepInterval, gateway.sweep)
 	if err := gateway.callers.listen(gateway.settings.CallerAddress); err != nil {
 		return fmt.Errorf("listen for callers on %q: %w", gateway.settings.CallerAddress, err)
 	}
@@ -219,88 +221,6 @@
 	return nil
 }
 
-// enter writes this host's entry.
-func (gateway *Gateway) enter() {
-	value, err := codec.Marshal(gateway.own)
-	if err != nil {
-		gateway.logger.WithError(err).Error("entry of this host cannot be written")
-		return
-	}
-	if _, err := gateway.writer.Append(gateway.ctx, mesh.Topic, 0, store.Record{Key: gateway.own.Host, Value: value}); err != nil && gateway.ctx.Err() == nil {
-		gateway.logger.WithError(err).Error("entry of this host was not written")
-	}
-}
-
-// tidy drops what is no longer needed from memory.
-func (gateway *Gateway) tidy(ctx context.Context) {
-	ticker := gateway.clock.NewTicker(tidyInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			gateway.counter.Tidy()
-			known := make(map[string]bool)
-			for _, id := range gateway.board.IDs() {
-				known[id] = true
-			}
-			gateway.pool.Forget(func(id string) bool { return known[id] })
-		}
-	}
-}
-
-// sweep drops what is over from the store. Each partition is swept by one host.
-func (gateway *Gateway) sweep(ctx context.Context) {
-	ticker := gateway.clock.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	topics := []struct {
-		name string
-		over func([]store.Record, time.Time) []string
-	}{{budget.Topic, budget.Over}, {history.Topic, history.Over}}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-		for _, topic := range topics {
-			for part := range gateway.settings.Store.Partitions {
-				if _, self := gateway.mesh.Home(fmt.Sprintf("%s/%d", topic.name, part)); !self {
-					continue
-				}
-				over := func(records []store.Record) []string { return topic.over(records, gateway.clock.Now()) }
-				if err := gateway.expiry.Sweep(ctx, gateway.store, topic.name, part, over); err != nil && ctx.Err() == nil {
-					gateway.logger.WithError(err).WithFields(log.Fields{"topic": topic.name, "part": part}).Warn("partition not swept")
-				}
-			}
-		}
-	}
-}
-
-// watch notices when this host is cut off with its data centre, or alone.
-func (gateway *Gateway) watch(ctx context.Context) {
-	ticker := gateway.clock.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			gateway.board.SetSilent(gateway.mesh.SilentDataCentres())
-			isolated := !gateway.store.Reachable() && !gateway.mesh.Elsewhere()
-			if gateway.isolated.Swap(isolated) == isolated {
-				continue
-			}
-			if isolated {
-				gateway.logger.Warn("cut off from the store and all other data centres; leaving the rotation")
-			} else {
-				gateway.logger.Info("no longer cut off; taking callers again")
-			}
-		}
-	}
-}
-
 // ready reports whether the balancer should send callers here. A host that is
 // cut off leaves them to other data centres.
 func (gateway *Gateway) ready() bool {
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -70,31 +70,33 @@
 	Expected int64         `msgpack:"x,omitempty"`
 }
 
+// sequenceName and storeErrors name the store's errors between hosts.
+const sequenceName = "sequence"
+
 var storeErrors = map[string]error{"trimmed": store.ErrTrimmed, "full": store.ErrFull, "invalid": store.ErrInvalid}
 
-func (answer *storeAnswer) fill(err error) error {
-	if err == nil {
-		return nil
-	}
+// with adds an error of the store's own. Other errors end the call.
+func (answer storeAnswer) with(err error) (storeAnswer, error) {
 	var sequence *store.SequenceError
-	if errors.As(err, &sequence) {
-		answer.Error, answer.Expected = "sequence", sequence.Expected
-		return nil
+	switch {
+	case err == nil:
+		return answer, nil
+	case errors.As(err, &sequence):
+		return storeAnswer{Error: sequenceName, Expected: sequence.Expected}, nil
 	}
 	for name, known := range storeErrors {
 		if errors.Is(err, known) {
-			answer.Error = name
-			return nil
+			return storeAnswer{Error: name}, nil
 		}
 	}
-	return err
+	return storeAnswer{}, err
 }
 
 func (answer *storeAnswer) err() error {
 	if answer.Error == "" {
 		return nil
 	}
-	if answer.Error == "sequence" {
+	if answer.Error == sequenceName {
 		return &store.SequenceError{Expected: answer.Expected}
 	}
 	if known, ok := storeErrors[answer.Error]; ok {
@@ -105,97 +107,65 @@
 
 // Handler serves calls of other hosts.
 func (mesh *Mesh) Handler(services Services) peer.Handler {
-	return func(ctx context.Context, request peer.Request, send func(any) error) error {
-		switch request.Method {
-		case methodStatus:
-			var status Status
-			if err := request.Decode(&status); err != nil {
-				return err
-			}
+	handlers := map[string]peer.Handler{
+		methodStatus: answering(func(_ context.Context, status Status) (Status, error) {
 			mesh.Hear(status)
-			return send(mesh.status())
-		case methodAppend, methodRead, methodList:
-			return relay(ctx, services.Store, request, send)
-		case methodFind:
-			var question findQuestion
-			if err := request.Decode(&question); err != nil {
-				return err
-			}
-			return send(findAnswer{Turns: services.Chain(question.Workspace, question.ID)})
-		case methodRelease:
-			var question releaseQuestion
-			if err := request.Decode(&question); err != nil {
-				return err
-			}
+			return mesh.status(), nil
+		}),
+		methodAppend: answering(func(ctx context.Context, batch store.Append) (storeAnswer, error) {
+			offset, err := services.Store.Append(ctx, batch)
+			return storeAnswer{Offset: offset}.with(err)
+		}),
+		methodRead: answering(func(ctx context.Context, read store.Read) (storeAnswer, error) {
+			page, err := services.Store.Read(ctx, read)
+			return storeAnswer{Page: page}.with(err)
+		}),
+		methodList: answering(func(ctx context.Context, list store.List) (storeAnswer, error) {
+			listing, err := services.Store.List(ctx, list)
+			return storeAnswer{Listing: listing}.with(err)
+		}),
+		methodFind: answering(func(_ context.Context, question findQuestion) (findAnswer, error) {
+			return findAnswer{Turns: services.Chain(question.Workspace, question.ID)}, nil
+		}),
+		methodPush: answering(func(_ context.Context, copies findAnswer) (done, error) {
+			services.Push(copies.Turns)
+			return done{}, nil
+		}),
+		methodRelease: answering(func(ctx context.Context, question releaseQuestion) (releaseAnswer, error) {
 			returned, err := services.Release(ctx, question.Program)
-			if err != nil {
-				return err
-			}
-			return send(releaseAnswer{Returned: returned})
-		case methodReserve:
-			var question budget.Question
-			if err := request.Decode(&question); err != nil {
-				return err
-			}
-			answer, err := services.Reserve(ctx, question)
-			if err != nil {
-				return err
-			}
-			return send(answer)
-		case methodSettle:
-			var settlement budget.Settlement
-			if err := request.Decode(&settlement); err != nil {
-				return err
-			}
+			return releaseAnswer{Returned: returned}, err
+		}),
+		methodReserve: answering(services.Reserve),
+		methodSettle: answering(func(_ context.Context, settlement budget.Settlement) (done, error) {
 			services.Settle(settlement)
-			return send(done{})
-		case methodQuota:
-			var question quota.Question
-			if err := request.Decode(&question); err != nil {
-				return err
-			}
-			return send(services.Quota(question))
-		case methodPush:
-			var turns findAnswer
-			if err := request.Decode(&turns); err != nil {
-				return err
-			}
-			services.Push(turns.Turns)
-			return send(done{})
-		default:
+			return done{}, nil
+		}),
+		methodQuota: answering(func(_ context.Context, question quota.Question) (quota.Answer, error) {
+			return services.Quota(question), nil
+		}),
+	}
+	return func(ctx context.Context, request peer.Request, send func(any) error) error {
+		handler, known := handlers[request.Method]
+		if !known {
 			return fmt.Errorf("unknown method %q", request.Method)
 		}
+		return handler(ctx, request, send)
 	}
 }
 
-// relay makes a call of the store for another host.
-func relay(ctx context.Context, direct store.Store, request peer.Request, send func(any) error) error {
-	var answer storeAnswer
-	var err error
-	switch request.Method {
-	case methodAppend:
-		var batch store.Append
-		if err := request.Decode(&batch); err != nil {
-			return err
-		}
-		answer.Offset, err = direct.Append(ctx, batch)
-	case methodRead:
-		var read store.Read
-		if err := request.Decode(&read); err != nil {
+// answering serves a method with one question and one answer.
+func answering[Q, A any](serve func(context.Context, Q) (A, error)) peer.Handler {
+	return func(ctx context.Context, request peer.Request, send func(any) error) error {
+		var question Q
+		if err := request.Decode(&question); err != nil {
 			return err
 		}
-		answer.Page, err = direct.Read(ctx, read)
-	default:
-		var list store.List
-		if err := request.Decode(&list); err != nil {
+		answer, err := serve(ctx, question)
+		if err != nil {
 			return err
 		}
-		answer.Listing, err = direct.List(ctx, list)
-	}
-	if err := answer.fill(err); err != nil {
-		return err
+		return send(answer)
 	}
-	return send(answer)
 }
 
 const (
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/duty"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
@@ -112,16 +113,7 @@
 
 // Run tells the others this host's state until the context ends.
 func (mesh *Mesh) Run(ctx context.Context) {
-	ticker := mesh.clock.NewTicker(statusInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			mesh.tell(ctx)
-		}
-	}
+	duty.Every(ctx, mesh.clock, statusInterval, func() { mesh.tell(ctx) })
 }
 
 // tell exchanges states with the hosts whose names sort after this one's, and
--- a/internal/store/expiry.go
+++ b/internal/store/expiry.go
@@ -7,6 +7,8 @@
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/duty"
 )
 
 const (
@@ -51,16 +53,7 @@
 
 // Run drops keys until the context ends.
 func (expiry *Expiry) Run(ctx context.Context) {
-	ticker := expiry.clock.NewTicker(expiryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			expiry.round()
-		}
-	}
+	duty.Every(ctx, expiry.clock, expiryInterval, expiry.round)
 }
 
 // round queues the drops that are due. Keys are given mostly in the order of
