--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -65,7 +65,7 @@
 	firstSpan      = 2 * time.Second        // time of a program before any has been seen to end
 	leastSpan      = 500 * time.Millisecond
 	lengthWeight   = 0.1             // of the newest program in the averages
-	overcommit     = 1.4             // programs pause, so a little more than the rate may be promised
+	overcommit     = 2.0             // programs pause and wait for tokens, so more than the rate may be promised
 	tokenTime      = 2 * time.Second // over which tokens at hand count as rate
 	stockLevel     = 0.5             // of the capacity above which tokens are moved to other hosts
 	stockPart      = 0.25
