--- /dev/null
+++ b/internal/cli/gateway_test.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const gatewayFile = `
+nodeName = "front-a-1"
+ip = "127.0.0.1"
+zone = "a"
+internalPorts = [7780, 7795]
+heartbeatMs = 1200
+[listenAddresses]
+front = "127.0.0.1:8368"
+ready = "127.0.0.1:8369"
+[limits]
+memoryMb = 154
+[bounds]
+drainMs = 2000
+graceS = 8
+configMs = 2000
+[platform]
+address = "127.0.0.1:8362"
+parts = 8
+`
+
+// TestGatewaySettings checks that every fault of the settings is named with
+// what was expected, and the exit code.
+func TestGatewaySettings(t *testing.T) {
+	tests := []struct {
+		name      string
+		file      string
+		arguments []string
+		exit      int
+		output    []string
+	}{
+		{"sound", gatewayFile, []string{"--check", "--peer-secret", "a secret of many characters"}, ExitDone, []string{"settings are valid"}},
+		{"no secret", gatewayFile, []string{"--check"}, ExitUsage, []string{"peer-secret"}},
+		{"short secret", gatewayFile, []string{"--check", "--peer-secret", "short"}, ExitUsage, []string{"--peer-secret has 5 characters, expected at least 16"}},
+		{"faulty file and flags", strings.Replace(strings.Replace(gatewayFile, `zone = "a"`, ``, 1), "graceS = 8", "graceS = -1", 1),
+			[]string{"--check", "--peer-secret", "a secret of many characters", "--metrics-port", "0", "--log-level", "loud", "--log-lines", "0"}, ExitUsage,
+			[]string{
+				`zone is "", expected a name`, `bounds.graceS is "-1", expected a number above zero`, "--metrics-port is 0, expected a port from 1 to 65535",
+				`--log-level is "loud", expected debug, info, warn or error`, "--log-lines is 0, expected a number above zero",
+			}},
+		{"unknown flag", gatewayFile, []string{"--nothing"}, ExitUsage, []string{"nothing"}},
+		{"argument", gatewayFile, []string{"--peer-secret", "a secret of many characters", "more"}, ExitUsage, []string{`unexpected argument "more"`}},
+		{"help", gatewayFile, []string{"--help"}, ExitDone, []string{"--log-lines", "GODWITSPREAD_METRICS_PORT"}},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		path := filepath.Join(t.TempDir(), "boot.toml")
+		is.NoErr(os.WriteFile(path, []byte(test.file), 0o600))
+		var stdout, stderr bytes.Buffer
+		exit := Daemon(append([]string{gatewayCommand, "--settings", path}, test.arguments...), &stdout, &stderr)
+		is.Equal(exit, test.exit) // test.name
+		for _, text := range test.output {
+			is.True(strings.Contains(stdout.String()+stderr.String(), text)) // test.name
+		}
+	}
+	is := is.New(t)
+	var stdout, stderr bytes.Buffer
+	is.Equal(Daemon([]string{gatewayCommand, "--settings", "/nowhere/boot.toml", "--peer-secret", "a secret of many characters"}, &stdout, &stderr), ExitUsage)
+	is.True(strings.Contains(stderr.String(), `read settings file "/nowhere/boot.toml"`))
+}
