Count rates over a sliding window and admit programs by what they need

The token bucket held 0.4 of a burst, stocks on hosts expired unused, and programs counted as under way for 0.9 s after their end.

Programs under way may use half of the tolerance over a limit; new programs may not.

--- /dev/null
+++ b/internal/bench/experiment.go
@@ -0,0 +1,39 @@
+package bench
+
+import (
+	"fmt"
+
+	"github.com/godwitspread/godwitspread/internal/experiment"
+)
+
+type experimentCommand struct {
+	tool   *tool
+	Output string `long:"output" default:"out" description:"folder for the report"`
+	Seed   uint64 `long:"seed" default:"1" description:"first seed of the loads"`
+	Seeds  int    `long:"seeds" default:"6" description:"number of seeds"`
+}
+
+// Execute replays the loads over the policies.
+func (command *experimentCommand) Execute([]string) error {
+	if command.Seeds < 1 {
+		return fmt.Errorf("--seeds is %d, expected at least 1", command.Seeds)
+	}
+	var results []experiment.Result
+	var rows [][]string
+	for _, pattern := range experiment.Patterns() {
+		for _, policy := range pattern.Policies {
+			var runs []experiment.Result
+			for seed := range uint64(command.Seeds) {
+				runs = append(runs, experiment.Run(pattern, policy, command.Seed+seed))
+			}
+			mean := experiment.Mean(runs)
+			results = append(results, mean)
+			rows = append(rows, mean.Row())
+		}
+	}
+	command.tool.table(experiment.Header(), rows)
+	if err := writeJSON(command.Output, "experiment.json", results); err != nil {
+		return err
+	}
+	return writeFile(command.Output, "experiment.svg", experiment.Plot(results))
+}
--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -41,6 +41,7 @@
 		{"policies", "Measure order and placement on fake engines, in virtual time", &policiesCommand{tool: tool}},
 		{"load", "Run programs against entry hosts on this machine", &loadCommand{tool: tool}},
 		{"slopes", "Measure the slopes of the capacity page", &slopesCommand{tool: tool}},
+		{"experiment", "Replay load patterns over policies of admission, in virtual time", &experimentCommand{tool: tool}},
 		{"rates", "Measure how workspaces are counted, in virtual time", &ratesCommand{tool: tool}},
 		{"day", "Run programs over entry hosts on the platform's protocol, on stand-ins", &dayCommand{tool: tool}},
 		{"demo", "Run three hosts, kill an owner, and show that nothing was lost or doubled", &demoCommand{tool: tool}},
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,90 @@
+package experiment
+
+import (
+	"bytes"
+	"fmt"
+	"html"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Mean joins the results of several seeds.
+func Mean(results []Result) Result {
+	mean := results[0]
+	count := float64(len(results))
+	mean.Worth, mean.Served, mean.Worst = 0, 0, 0
+	mean.InAim = make(map[string]float64)
+	mean.Reasons = make(map[string]int)
+	var p50, p95 time.Duration
+	mean.Programs, mean.Stopped, mean.Refused = 0, 0, 0
+	for _, result := range results {
+		mean.Worth += result.Worth / count
+		mean.Served += result.Served / count
+		mean.Worst += result.Worst / count
+		mean.Over = max(mean.Over, result.Over)
+		mean.Programs += result.Programs
+		mean.Stopped += result.Stopped
+		mean.Refused += result.Refused
+		p50 += result.P50
+		p95 += result.P95
+		for kind, share := range result.InAim {
+			mean.InAim[kind] += share / count
+		}
+		for reason, times := range result.Reasons {
+			mean.Reasons[reason] += times
+		}
+	}
+	mean.P50, mean.P95 = p50/time.Duration(len(results)), p95/time.Duration(len(results))
+	return mean
+}
+
+// Header and Row make a table of results.
+func Header() []string {
+	return []string{"pattern", "policy", "worth", "served", "worst 2 s", "in aim", "p50 s", "p95 s", "refused", "stopped", "refusals"}
+}
+
+// Row returns the cells of a result.
+func (result Result) Row() []string {
+	var kinds, reasons []string
+	for _, kind := range slices.Sorted(maps.Keys(result.InAim)) {
+		kinds = append(kinds, fmt.Sprintf("%s %.2f", kind, result.InAim[kind]))
+	}
+	for _, reason := range slices.Sorted(maps.Keys(result.Reasons)) {
+		reasons = append(reasons, fmt.Sprintf("%s %d", reason, result.Reasons[reason]))
+	}
+	return []string{
+		result.Pattern, result.Policy, fmt.Sprintf("%.3f", result.Worth), fmt.Sprintf("%.3f", result.Served), fmt.Sprintf("%.2f", result.Worst),
+		strings.Join(kinds, ", "), fmt.Sprintf("%.2f", result.P50.Seconds()), fmt.Sprintf("%.2f", result.P95.Seconds()),
+		fmt.Sprintf("%d of %d", result.Refused, result.Programs), fmt.Sprint(result.Stopped), strings.Join(reasons, ", "),
+	}
+}
+
+// Plot draws the worth of each policy as bars.
+func Plot(results []Result) []byte {
+	const (
+		width     = 960
+		barHeight = 14
+		left      = 440
+		scale     = 420
+	)
+	var plot bytes.Buffer
+	height := (len(results) + 2) * (barHeight + 4)
+	fmt.Fprintf(&plot, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n", width, height)
+	fmt.Fprintf(&plot, `<text x="8" y="14">worth of what was owed; line: part of programs served</text>`+"\n")
+	for index, result := range results {
+		y := (index + 1) * (barHeight + 4)
+		colour := "#9aa7b5"
+		if result.Policy == OursName {
+			colour = "#2a6f97"
+		}
+		fmt.Fprintf(&plot, `<text x="8" y="%d">%s: %s</text>`, y+barHeight-3, html.EscapeString(result.Pattern), html.EscapeString(result.Policy))
+		fmt.Fprintf(&plot, `<rect x="%d" y="%d" width="%d" height="%d" fill="%s"/>`, left, y, max(1, int(result.Worth*scale)), barHeight, colour)
+		served := left + int(result.Served*scale)
+		fmt.Fprintf(&plot, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="#c9a227" stroke-width="2"/>`, served, y, served, y+barHeight)
+		fmt.Fprintf(&plot, `<text x="%d" y="%d">%.3f</text>`+"\n", left+scale+8, y+barHeight-3, result.Worth)
+	}
+	plot.WriteString("</svg>\n")
+	return plot.Bytes()
+}
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -51,12 +52,15 @@
 		return refuse(http.StatusServiceUnavailable, "quarantined").after(quarantinePause)
 	}
 	if visit.workspace != nil {
-		limit := quota.Limit{Rate: visit.workspace.Rate, Burst: visit.workspace.Burst, Window: front.window}
+		question := quota.Question{
+			Workspace: visit.workspace.Name, Limit: front.terms().Limit(visit.workspace.Rate, visit.workspace.Burst),
+			Program: decoded.Program, Route: visit.route.Name, Urgent: visit.route.Priority == 0, Left: decoded.ProgramLeft,
+		}
 		begun := front.clock.Now()
-		admitted, retry := front.rates.Admit(incoming.Context(), visit.workspace.Name, limit, decoded.Program, visit.route.Name, visit.route.Priority == 0)
+		admitted, retry := front.rates.Admit(incoming.Context(), question)
 		visit.waited += front.clock.Since(begun)
 		if !admitted {
-			return refuse(http.StatusTooManyRequests, "rate_exceeded").after(retry)
+			return refuse(http.StatusTooManyRequests, "rate_exceeded").after(retry).because(fmt.Errorf("workspace is over its rate of %g a second and burst of %g", visit.workspace.Rate, visit.workspace.Burst))
 		}
 		visit.charged = true
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,9 +32,9 @@
 
 // Rates admits requests of workspaces.
 type Rates interface {
-	Admit(ctx context.Context, workspace string, limit quota.Limit, program, route string, urgent bool) (admitted bool, retry time.Duration)
-	// Refund gives back the token of a request that has not run.
-	Refund(workspace, program string)
+	Admit(ctx context.Context, question quota.Question) (admitted bool, retry time.Duration)
+	// Refund gives back a request that was admitted and has not run.
+	Refund(workspace string)
 }
 
 // Budgets admits turns of programs.
@@ -64,7 +64,7 @@
 	rates         Rates
 	budgets       Budgets
 	histories     Histories
-	window        time.Duration
+	terms         func() quota.Terms
 	draining      atomic.Bool
 	active        atomic.Int64
 }
@@ -81,14 +81,14 @@
 	Rates         Rates
 	Budgets       Budgets
 	Histories     Histories
-	Window        time.Duration // over which workspaces' rates are counted
+	Terms         func() quota.Terms // of the workspaces' rates
 }
 
 // New returns a front.
 func New(parts Parts) *Front {
 	return &Front{
 		clock: parts.Clock, logger: parts.Logger, metrics: parts.Metrics, configuration: parts.Configuration,
-		board: parts.Board, pool: parts.Pool, suspects: parts.Suspects, rates: parts.Rates, budgets: parts.Budgets, histories: parts.Histories, window: parts.Window,
+		board: parts.Board, pool: parts.Pool, suspects: parts.Suspects, rates: parts.Rates, budgets: parts.Budgets, histories: parts.Histories, terms: parts.Terms,
 	}
 }
 
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -43,7 +43,7 @@
 func (visit *visit) reject(refused *rejection) {
 	front := visit.front
 	if visit.charged && visit.runs == 0 {
-		front.rates.Refund(visit.workspace.Name, visit.request.Program)
+		front.rates.Refund(visit.workspace.Name)
 	}
 	front.metrics.Refused(refusal.Code(refused.reason))
 	header := visit.writer.Header()
@@ -76,6 +76,7 @@
 		fields["attempt"] = visit.request.Attempt
 		if visit.request.Program != "" {
 			fields["program"] = visit.request.Program
+			fields["program_left_ms"] = visit.request.ProgramLeft.Milliseconds()
 		}
 	}
 	if visit.workspace != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,7 @@
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
 		Board: gateway.board, Pool: gateway.pool, Suspects: gateway.suspects,
 		Rates: gateway.limiter, Budgets: gateway.counter, Histories: gateway.histories,
-		Window: settings.Bounds.QuotaWindow,
+		Terms: gateway.terms,
 	})
 	gateway.callers = newCallers(gateway.front, logger, settings.FileDescriptors/2)
 	gateway.configuration.changed = func(table *route.Table) { gateway.callers.limit(table.Limits()) }
@@ -148,6 +148,12 @@
 	gateway.logger.WithFields(fields).Info("settings read again")
 }
 
+// terms returns how the rates of workspaces are counted.
+func (gateway *Gateway) terms() quota.Terms {
+	bounds := gateway.bounds.Load()
+	return quota.Terms{Window: bounds.QuotaWindow, Overage: bounds.QuotaOverage, Slack: bounds.QuotaSlack}
+}
+
 // report tells the other hosts this one's state.
 func (gateway *Gateway) report() mesh.Status {
 	status := mesh.Status{
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -1,12 +1,8 @@
 // Package quota keeps each workspace within its rate over all hosts together.
-// One host keeps the account of a workspace; the others ask it, or use a small
-// stock of tokens that it has moved to them.
+// One host keeps the account of a workspace; the others ask it.
 package quota
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Limit is a workspace's rate over all hosts together: no span of the window's
 // length takes more than the rate for that time and the burst.
@@ -14,89 +10,129 @@
 	Rate   float64       `msgpack:"r"` // requests a second
 	Burst  float64       `msgpack:"b"`
 	Window time.Duration `msgpack:"w"`
+	// Reserve is how many requests beyond the limit programs under way may take
+	// in a window.
+	Reserve float64 `msgpack:"s,omitempty"`
+}
+
+// Terms are how a deployment counts rates. Hosts together may exceed a limit by
+// the overage and the slack.
+type Terms struct {
+	Window  time.Duration
+	Overage float64 // part of a limit
+	Slack   float64 // requests
 }
 
-// capacityShare is the part of a burst that an account can hold at once; the
-// rest is spread over the window, which admits more programs whole.
-const capacityShare = 0.4
+// reserveShare is the part of the tolerance that programs under way may use;
+// the rest covers accounts that move between hosts.
+const reserveShare = 0.5
 
-// refill returns what is added in a second.
-func (limit Limit) refill() float64 {
-	if limit.Window <= 0 {
-		return limit.Rate
+// Limit returns the limit of a workspace.
+func (terms Terms) Limit(rate, burst float64) Limit {
+	if terms.Window <= 0 {
+		terms.Window = time.Second
+	}
+	return Limit{
+		Rate: rate, Burst: burst, Window: terms.Window,
+		Reserve: reserveShare * (terms.Overage*(rate*terms.Window.Seconds()+burst) + terms.Slack),
 	}
-	return limit.Rate + (1-capacityShare)*limit.Burst/limit.Window.Seconds()
 }
 
-// capacity returns the most that an account holds. A window then takes no more
-// than the capacity and the refill of its time, which is the limit.
-func (limit Limit) capacity() float64 {
-	if limit.Window <= 0 {
-		return limit.Burst
-	}
-	return capacityShare * limit.Burst
+// most returns how many requests the limit allows in a window.
+func (limit Limit) most() float64 { return limit.Rate*limit.Window.Seconds() + limit.Burst }
+
+// steady returns the requests a second that the limit allows for ever.
+func (limit Limit) steady() float64 { return limit.most() / limit.Window.Seconds() }
+
+// Policy is how an account admits programs.
+type Policy struct {
+	Horizon  time.Duration // for which programs under way must find what they need
+	Promise  float64       // part of what is free within the horizon that may be promised
+	Patience time.Duration // that a program under way waits; its aim leaves a little more
 }
 
-// Question asks for a token, and for a stock.
+// Usual is the policy of hosts: of those that the experiment tool compares, the
+// one with the highest worth over all its loads.
+var Usual = Policy{Promise: 1.1, Horizon: time.Second, Patience: 400 * time.Millisecond}
+
+// Question asks whether a request may run.
 type Question struct {
-	Workspace string         `msgpack:"w"`
-	Limit     Limit          `msgpack:"l"`
-	Program   string         `msgpack:"p,omitempty"`
-	Route     string         `msgpack:"o,omitempty"`
-	Urgent    bool           `msgpack:"g,omitempty"` // its route has the highest priority
-	Want      int            `msgpack:"n,omitempty"` // tokens for the time until the next question
-	Used      map[string]int `msgpack:"u,omitempty"` // requests admitted from the stock, by program
+	Workspace string        `msgpack:"w"`
+	Limit     Limit         `msgpack:"l"`
+	Program   string        `msgpack:"p,omitempty"`
+	Route     string        `msgpack:"o,omitempty"`
+	Urgent    bool          `msgpack:"g,omitempty"` // its route has the highest priority
+	Returned  int           `msgpack:"b,omitempty"` // earlier requests of the workspace that have not run
+	Left      time.Duration `msgpack:"e,omitempty"` // until the program should be done
 }
 
 // Answer is the account's answer.
 type Answer struct {
 	Admitted bool          `msgpack:"a,omitempty"`
-	Stock    int           `msgpack:"s,omitempty"`
-	Delay    time.Duration `msgpack:"d,omitempty"` // until the token may be used
+	Delay    time.Duration `msgpack:"d,omitempty"` // until it may run
 	Retry    time.Duration `msgpack:"t,omitempty"`
 }
 
 const (
-	startTime      = 250 * time.Millisecond // of the rate that a new account holds: the account before it may have spent its burst
+	startTime      = 250 * time.Millisecond // of the limit that a new account has: the account before it may have used the rest
 	programSilence = 4 * time.Second        // after its last request a program is taken for ended
-	patience       = 400 * time.Millisecond // that a program under way waits for a token; its aim leaves a little more
 	pauseTime      = 900 * time.Millisecond // between requests of a program that is under way
 	firstLength    = 10                     // requests of a program before any has been seen to end
 	firstSpan      = 2 * time.Second        // time of a program before any has been seen to end
+	firstPart      = 0.6                    // of the time that a program has left, that it takes before any has been seen to end
+	shortPause     = 250 * time.Millisecond // usual between requests of a program
 	leastSpan      = 500 * time.Millisecond
-	lengthWeight   = 0.1             // of the newest program in the averages
-	overcommit     = 2.0             // programs pause and wait for tokens, so more than the rate may be promised
-	tokenTime      = 2 * time.Second // over which tokens at hand count as rate
-	stockLevel     = 0.5             // of the capacity above which tokens are moved to other hosts
-	stockPart      = 0.25
+	lengthWeight   = 0.1 // of the newest program in the averages
 	leastRetry     = 60 * time.Millisecond
 	mostRetry      = 2 * time.Second
 )
 
-// Account is the tokens of one workspace and the rate that it has promised: a
-// program that has begun needs more requests until it ends, and one that stops
-// midway for want of tokens is worth nothing. New programs are admitted while
-// the rates of those under way leave room for theirs.
+// Account is what one workspace has used of its limit and the rate that it has
+// promised: a program that has begun needs more requests until it ends, and one
+// that stops midway is worth nothing. New programs are admitted while the rates
+// of those under way leave room for theirs.
 type Account struct {
+	policy   Policy
 	limit    Limit
-	tokens   float64
+	window   *window
 	updated  time.Time
 	swept    time.Time
 	programs map[string]*course
+	order    []*course // as they began
 	habits   *Habits
-	promised float64 // requests a second of all programs under way
-	// urgentRate is kept free of less urgent programs, so that the next urgent
-	// one finds room.
-	urgentRate float64
+	promised float64 // requests that the programs under way need within the horizon
+	// urgent is kept free of less urgent programs, so that the next urgent one
+	// finds room.
+	urgent float64
 }
 
 // course is one program under way.
 type course struct {
+	id    string
 	route string
 	used  int
 	rate  float64
 	begun time.Time
 	last  time.Time
+	left  time.Duration // that it had at its first request
+}
+
+// end is when the program will probably have ended.
+func (course *course) end(usual *usual) time.Time {
+	if course.left <= 0 {
+		return course.last.Add(pauseTime)
+	}
+	return course.begun.Add(time.Duration(float64(course.left) * usual.part))
+}
+
+// need returns the requests that the program probably needs within a time.
+func (course *course) need(usual *usual, horizon time.Duration, now time.Time) float64 {
+	silent := now.Sub(course.last)
+	rest := course.end(usual).Sub(now)
+	if silent >= pauseTime || rest <= 0 && silent >= shortPause {
+		return 0
+	}
+	return course.rate * min(horizon, max(rest, shortPause)).Seconds()
 }
 
 // Habits are what programs that begin on each route usually need. Workspaces
@@ -110,6 +146,7 @@
 type usual struct {
 	length float64
 	span   time.Duration
+	part   float64 // of the time that it had left at its first request, that it took
 }
 
 func (usual *usual) rate() float64 { return usual.length / max(usual.span, leastSpan).Seconds() }
@@ -117,7 +154,7 @@
 func (habits *Habits) of(route string) *usual {
 	one, ok := habits.byRoute[route]
 	if !ok {
-		one = &usual{length: firstLength, span: firstSpan}
+		one = &usual{length: firstLength, span: firstSpan, part: firstPart}
 		habits.byRoute[route] = one
 	}
 	return one
@@ -127,109 +164,103 @@
 func (habits *Habits) learn(course *course) {
 	usual := habits.of(course.route)
 	usual.length += lengthWeight * (float64(course.used) - usual.length)
-	usual.span += time.Duration(lengthWeight * float64(course.last.Sub(course.begun)-usual.span))
+	span := course.last.Sub(course.begun)
+	usual.span += time.Duration(lengthWeight * float64(span-usual.span))
+	if course.left > 0 {
+		usual.part += lengthWeight * (min(1, float64(span)/float64(course.left)) - usual.part)
+	}
 }
 
-// NewAccount returns an account with a little of the rate in it.
-func NewAccount(limit Limit, habits *Habits, now time.Time) *Account {
+// NewAccount returns an account that has a little of the limit.
+func NewAccount(limit Limit, policy Policy, habits *Habits, now time.Time) *Account {
 	return &Account{
-		limit: limit, tokens: math.Min(limit.capacity(), limit.refill()*startTime.Seconds()), updated: now, swept: now,
+		limit: limit, policy: policy, window: newWindow(limit.Window, now.Add(-startTime)), updated: now, swept: now,
 		programs: make(map[string]*course), habits: habits,
 	}
 }
 
-// Serve answers a question. Portion is the part of the rate that this account
+// Serve answers a question. Portion is the part of the limit that this account
 // may use while it cannot reach all hosts.
 func (account *Account) Serve(question Question, portion float64, now time.Time) Answer {
-	account.limit = question.Limit
-	account.advance(portion, now)
-	for program, count := range question.Used {
-		account.use(program, question.Route, count, now)
+	if question.Limit.Window != account.limit.Window {
+		account.window = newWindow(question.Limit.Window, now)
 	}
-	_, begun := account.programs[question.Program]
-	if question.Program == "" {
-		begun = true
+	account.limit = question.Limit
+	account.window.advance(now, account.limit.most(), portion)
+	account.window.use(-float64(question.Returned), 0)
+	account.updated = now
+	if now.Sub(account.swept) >= pauseTime/8 {
+		account.sweep(now)
 	}
-	refill := account.limit.refill() * portion
-	if begun && account.tokens < 1 && account.tokens >= 1-refill*patience.Seconds() {
-		// A program under way waits for a token that comes soon.
-		account.tokens--
-		account.use(question.Program, question.Route, 1, now)
-		return Answer{Admitted: true, Delay: time.Duration(-account.tokens / refill * float64(time.Second))}
+	if _, begun := account.programs[question.Program]; begun || question.Program == "" {
+		return account.goOn(question, now)
 	}
-	if account.tokens < 1 {
-		return Answer{Retry: retry((1 - account.tokens) / refill)}
+	return account.begin(question, now)
+}
+
+// begin admits a new program if what those under way still need leaves room
+// for it.
+func (account *Account) begin(question Question, now time.Time) Answer {
+	window, policy := account.window, account.policy
+	free := window.free(0)
+	if free < 1 {
+		wait, _ := window.wait(1-free, 0, mostRetry)
+		return Answer{Retry: retry(wait)}
 	}
-	rate := account.habits.of(question.Route).rate()
+	usual := account.habits.of(question.Route)
+	begun := &course{id: question.Program, route: question.Route, rate: usual.rate(), used: 1, begun: now, last: now, left: question.Left}
+	need := begun.need(usual, policy.Horizon, now)
+	room := policy.Promise*(free+window.freed(policy.Horizon)) - account.promised - need
 	if question.Urgent {
-		account.urgentRate = rate
+		account.urgent = need
+	} else {
+		room -= account.urgent
 	}
-	if !begun {
-		room := overcommit*refill + account.tokens/tokenTime.Seconds() - account.promised - rate
-		if !question.Urgent {
-			room -= account.urgentRate
-		}
-		if room < 0 {
-			return Answer{Retry: retry(-room / refill)}
-		}
+	if room < 0 {
+		return Answer{Retry: retry(time.Duration(-room / account.limit.steady() * float64(time.Second)))}
 	}
-	account.tokens--
-	account.use(question.Program, question.Route, 1, now)
-	return Answer{Admitted: true, Stock: account.stock(question.Want, portion)}
+	window.use(1, 0)
+	account.programs[question.Program] = begun
+	account.order = append(account.order, begun)
+	account.promised += need
+	return Answer{Admitted: true}
 }
 
-// stock moves tokens that are not needed here.
-func (account *Account) stock(want int, portion float64) int {
-	spare := account.tokens - stockLevel*account.limit.capacity()*portion
-	moved := max(0, min(want, int(spare*stockPart)))
-	account.tokens -= float64(moved)
-	return moved
-}
-
-func (account *Account) advance(portion float64, now time.Time) {
-	passed := now.Sub(account.updated).Seconds()
-	if passed > 0 {
-		account.updated = now
-		account.tokens += account.limit.refill() * portion * passed
+// goOn serves a program that is under way: from the limit, from the reserve,
+// or from what becomes free soon.
+func (account *Account) goOn(question Question, now time.Time) Answer {
+	answer := Answer{Admitted: true}
+	if free := account.window.free(account.limit.Reserve); free < 1 {
+		wait, found := account.window.wait(1-free, account.limit.Reserve, account.policy.Patience)
+		if !found {
+			return Answer{Retry: retry(wait)}
+		}
+		answer.Delay = wait
 	}
-	account.tokens = math.Min(account.tokens, math.Max(1, account.limit.capacity()*portion))
-	if now.Sub(account.swept) >= pauseTime/8 {
-		account.sweep(now)
+	account.window.use(1, answer.Delay)
+	if course, ok := account.programs[question.Program]; ok {
+		course.used++
+		course.last = now
 	}
+	return answer
 }
 
 // sweep ends programs that have fallen silent and learns from them.
 func (account *Account) sweep(now time.Time) {
 	account.swept = now
 	account.promised = 0
-	for id, course := range account.programs {
-		silent := now.Sub(course.last)
-		if silent < pauseTime {
-			account.promised += course.rate
-		}
-		if silent < programSilence {
+	kept := account.order[:0]
+	for _, course := range account.order {
+		account.promised += course.need(account.habits.of(course.route), account.policy.Horizon, now)
+		if now.Sub(course.last) < programSilence {
+			kept = append(kept, course)
 			continue
 		}
 		account.habits.learn(course)
-		delete(account.programs, id)
-	}
-}
-
-// use counts requests of a program.
-func (account *Account) use(program, route string, count int, now time.Time) {
-	if program == "" {
-		return
-	}
-	one, ok := account.programs[program]
-	if !ok {
-		one = &course{route: route, rate: account.habits.of(route).rate(), begun: now}
-		account.programs[program] = one
-		account.promised += one.rate
+		delete(account.programs, course.id)
 	}
-	one.used += count
-	one.last = now
+	clear(account.order[len(kept):])
+	account.order = kept
 }
 
-func retry(seconds float64) time.Duration {
-	return min(max(time.Duration(seconds*float64(time.Second)), leastRetry), mostRetry)
-}
+func retry(wait time.Duration) time.Duration { return min(max(wait, leastRetry), mostRetry) }
