--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -54,7 +54,7 @@
 	if visit.workspace != nil {
 		question := quota.Question{
 			Workspace: visit.workspace.Name, Limit: front.terms().Limit(visit.workspace.Rate, visit.workspace.Burst),
-			Program: decoded.Program, Route: visit.route.Name, Urgent: visit.route.Priority == 0, Left: decoded.ProgramLeft,
+			Program: decoded.Program, Route: visit.route.Name, Urgent: visit.urgent(), Left: decoded.ProgramLeft,
 		}
 		begun := front.clock.Now()
 		admitted, retry := front.rates.Admit(incoming.Context(), question)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,8 +48,9 @@
 type Histories interface {
 	Input(ctx context.Context, program, workspace, previous string) ([]byte, error)
 	Keep(ctx context.Context, program string, turn history.Turn) error
-	// Ready reports whether a turn could be made durable.
-	Ready() error
+	// Ready reports whether a turn with an input of a size could be made
+	// durable.
+	Ready(size int) error
 }
 
 // Front is the handler of callers' requests.
@@ -150,6 +151,15 @@
 	return visit.workspace.Name
 }
 
+// urgent reports whether the request has the highest priority. That of a
+// workspace goes before that of a route.
+func (visit *visit) urgent() bool {
+	if visit.workspace != nil && visit.workspace.HasPriority {
+		return visit.workspace.Priority == 0
+	}
+	return visit.route.Priority == 0
+}
+
 // timeLeft returns how long the caller and the route still wait.
 func (visit *visit) timeLeft() time.Duration {
 	return visit.deadline.Sub(visit.front.clock.Now())
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -196,25 +197,12 @@
 	var read event
 	first := true
 	for {
-		line, err := reader.ReadSlice('\n')
+		line, err := readLine(reader, maxEvent-len(read.raw))
 		read.raw = append(read.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(read.raw) > maxEvent {
-				return event{}, errors.New("event is too large")
-			}
-			// Long lines hold data; the rest of the line is taken whole. It
-			// overwrites what the reader has returned so far.
-			line = bytes.Clone(line)
-			rest, err := reader.ReadBytes('\n')
-			read.raw = append(read.raw, rest...)
-			line = append(line, rest...)
-			if err != nil {
-				return event{}, cut(err)
-			}
-		} else if err != nil {
-			if errors.Is(err, io.EOF) && len(read.raw) == 0 {
-				return event{}, io.EOF
-			}
+		if errors.Is(err, io.EOF) && len(read.raw) == 0 {
+			return event{}, io.EOF
+		}
+		if err != nil {
 			return event{}, cut(err)
 		}
 		text := bytes.TrimRight(line, "\r\n")
@@ -236,6 +224,26 @@
 	}
 }
 
+// readLine reads a line of at most a number of bytes.
+func readLine(reader *bufio.Reader, most int) ([]byte, error) {
+	var line []byte
+	for {
+		piece, err := reader.ReadSlice('\n')
+		if len(line)+len(piece) > most {
+			return nil, errEventTooLarge
+		}
+		if err == nil && line == nil {
+			return piece, nil // valid until the next read
+		}
+		line = append(line, piece...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+var errEventTooLarge = fmt.Errorf("event has more than %d bytes", maxEvent)
+
 func cut(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
@@ -247,7 +255,11 @@
 func (visit *visit) prepareTurn(ctx context.Context) *rejection {
 	front := visit.front
 	if visit.route.KeepsHistory {
-		if err := front.histories.Ready(); err != nil {
+		err := front.histories.Ready(len(visit.request.Body))
+		if errors.Is(err, history.ErrTooLarge) {
+			return refuse(http.StatusRequestEntityTooLarge, "turn_too_large").because(err)
+		}
+		if err != nil {
 			return refuse(http.StatusServiceUnavailable, "history_not_durable").after(storePause).because(err)
 		}
 	}
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -45,6 +45,30 @@
 	}
 }
 
+// TestReadEventIsBounded checks that a target cannot fill the memory with one
+// line.
+func TestReadEventIsBounded(t *testing.T) {
+	is := is.New(t)
+	source := &endless{}
+	_, err := readEvent(bufio.NewReader(source))
+	is.True(errors.Is(err, errEventTooLarge))
+	is.True(source.read <= 2*maxEvent)
+}
+
+// endless is a line without end.
+type endless struct{ read int }
+
+func (endless *endless) Read(buffer []byte) (int, error) {
+	if endless.read > 8*maxEvent {
+		return 0, io.EOF
+	}
+	for index := range buffer {
+		buffer[index] = 'x'
+	}
+	endless.read += len(buffer)
+	return len(buffer), nil
+}
+
 // FuzzReadEvent checks that whole events together are the bytes that came, up
 // to the one that is cut off.
 func FuzzReadEvent(f *testing.F) {
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -10,6 +10,7 @@
 	"github.com/godwitspread/godwitspread/internal/codec"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/mesh"
+	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
 
@@ -34,13 +35,36 @@
 // tidy drops what is no longer needed from memory.
 func (gateway *Gateway) tidy() {
 	gateway.counter.Tidy()
-	known := make(map[string]bool)
-	for _, id := range gateway.board.IDs() {
-		known[id] = true
+	targets := gateway.board.Targets()
+	known := make(map[string]bool, len(targets))
+	for _, target := range targets {
+		known[target.ID] = true
 	}
+	gateway.pool.Bound(gateway.idleConnections(targets))
 	gateway.pool.Forget(func(id string) bool { return known[id] })
 }
 
+// idleShare is the part of a target's connections that hosts together may keep
+// open without using them.
+const idleShare = 0.6
+
+// idleConnections returns how many connections this host may keep to each
+// target, by the service's limit over all hosts.
+func (gateway *Gateway) idleConnections(targets []placement.Target) map[string]int {
+	bounds := make(map[string]int)
+	table := gateway.configuration.Table()
+	if table == nil {
+		return bounds
+	}
+	hosts := gateway.mesh.Size()
+	for _, target := range targets {
+		if service := table.Service(target.Service); service != nil && service.Connections > 0 {
+			bounds[target.ID] = int(idleShare * float64(service.Connections) / float64(hosts))
+		}
+	}
+	return bounds
+}
+
 // sweep drops what is over from the store. Each partition is swept by one host.
 func (gateway *Gateway) sweep() {
 	topics := []struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,7 @@
 	gateway.histories = history.New(history.Parts{
 		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Peers: gateway.mesh, Partitions: partitions,
 		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), Reachable: gateway.store.Reachable,
+		Bounds: history.Bounds{Record: settings.Store.RecordBytes, Call: settings.Store.CallBytes},
 	})
 	gateway.transport = peer.NewTransport(settings.Host, gateway.own.Incarnation, settings.PeerSecret, clock, gateway.mesh.Handler(mesh.Services{
 		Store: gateway.direct, Chain: gateway.histories.Chain, Push: gateway.histories.Gather,
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -49,9 +49,9 @@
 		}
 	}
 	if whole {
-		for _, id := range targets.board.IDs() {
-			if !present[id] {
-				targets.missing[id] = true
+		for _, target := range targets.board.Targets() {
+			if !present[target.ID] {
+				targets.missing[target.ID] = true
 			}
 		}
 	}
--- a/internal/history/archive.go
+++ b/internal/history/archive.go
@@ -21,6 +21,7 @@
 	Output    []byte        `msgpack:"o,omitempty"`
 	Kept      int64         `msgpack:"k"` // Unix milliseconds
 	Retention time.Duration `msgpack:"t"`
+	Pieces    int           `msgpack:"c,omitempty"` // records that hold the texts, if they do not fit into one
 }
 
 // size is what a turn takes in memory, in bytes.
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -18,11 +17,6 @@
 // Topic holds the turns, and for each turn the root of its chain.
 const Topic = "turns"
 
-const (
-	rootPrefix = "i/" // key of a turn's root: the turn's id follows
-	textPrefix = "t/" // key of a turn: the root and the turn's id follow
-)
-
 // turnMargin is the longest time of a turn that continues a chain as it ends.
 const turnMargin = 30 * time.Second
 
@@ -31,7 +25,7 @@
 func Over(records []store.Record, now time.Time) []string {
 	until := make(map[string]time.Time) // by root
 	for _, record := range records {
-		if root, ok := rootOfKey(record.Key); ok {
+		if root, ok := rootOfKey(record.Key); ok && !isPiece(record.Key) {
 			var turn Turn
 			if err := codec.Unmarshal(record.Value, &turn); err != nil {
 				// Nobody can read it; the chain's other turns decide.
@@ -46,7 +40,7 @@
 	for _, record := range records {
 		root, ok := rootOfKey(record.Key)
 		if !ok {
-			root = string(record.Value)
+			root = keyOf(string(record.Value))
 		}
 		if now.After(until[root].Add(turnMargin)) {
 			keys = append(keys, record.Key)
@@ -55,19 +49,12 @@
 	return keys
 }
 
-// rootOfKey returns the root in the key of a turn.
-func rootOfKey(key string) (string, bool) {
-	rest, ok := strings.CutPrefix(key, textPrefix)
-	if !ok {
-		return "", false
-	}
-	root, _, _ := strings.Cut(rest, "/")
-	return root, true
-}
-
 // ErrNotDurable reports that the store cannot keep a turn now.
 var ErrNotDurable = errors.New("store is not reached, so no turn can be kept")
 
+// ErrTooLarge reports a turn that the store cannot take.
+var ErrTooLarge = errors.New("turn is too large to be kept")
+
 // Peers are the other hosts as far as histories need them.
 type Peers interface {
 	// Find asks the hosts for the chain up to a turn.
@@ -86,10 +73,17 @@
 	logger     log.Interface
 	peers      Peers
 	partitions int
+	bounds     Bounds
 	reachable  func() bool
 	archive    *archive
 }
 
+// Bounds are what the store takes, in bytes.
+type Bounds struct {
+	Record int // of one record
+	Call   int // of the records of one append
+}
+
 // Parts are what histories work with.
 type Parts struct {
 	Store       store.Store
@@ -99,6 +93,7 @@
 	Peers       Peers
 	Partitions  int
 	MemoryBytes int
+	Bounds      Bounds
 	Reachable   func() bool // whether the store can be called
 }
 
@@ -106,7 +101,7 @@
 func New(parts Parts) *Histories {
 	return &Histories{
 		store: parts.Store, writer: parts.Writer, clock: parts.Clock, logger: parts.Logger, peers: parts.Peers,
-		partitions: parts.Partitions, reachable: parts.Reachable, archive: newArchive(parts.MemoryBytes),
+		partitions: parts.Partitions, bounds: parts.Bounds.orDefault(), reachable: parts.Reachable, archive: newArchive(parts.MemoryBytes),
 	}
 }
 
@@ -114,8 +109,14 @@
 	return int(xxhash.Sum64String(workspace) % uint64(histories.partitions))
 }
 
-// Ready reports whether a turn could be made durable.
-func (histories *Histories) Ready() error {
+// outputShare is the part of an append that is left for a turn's output.
+const outputShare = 0.5
+
+// Ready reports whether a turn with an input of a size could be made durable.
+func (histories *Histories) Ready(size int) error {
+	if float64(size) > (1-outputShare)*float64(histories.bounds.Call) {
+		return fmt.Errorf("%w: input has %d bytes, the store takes %d at once", ErrTooLarge, size, histories.bounds.Call)
+	}
 	if !histories.reachable() {
 		return ErrNotDurable
 	}
@@ -129,13 +130,11 @@
 	if previous, ok := histories.archive.get(turn.Previous); ok {
 		turn.Root = previous.Root
 	}
-	value, err := codec.Marshal(turn)
+	records, err := encode(turn, histories.bounds.Record)
 	if err != nil {
 		return err
 	}
-	if _, err := histories.writer.Append(ctx, Topic, histories.partOf(turn.Workspace),
-		store.Record{Key: textPrefix + turn.Root + "/" + turn.ID, Value: value},
-		store.Record{Key: rootPrefix + turn.ID, Value: []byte(turn.Root)}); err != nil {
+	if _, err := histories.writer.Append(ctx, Topic, histories.partOf(turn.Workspace), records...); err != nil {
 		return err
 	}
 	histories.archive.put(&turn, histories.clock.Now())
@@ -235,36 +234,31 @@
 	if err != nil {
 		return err
 	}
-	prefix := textPrefix + root + "/"
-	after := prefix
-	now := histories.clock.Now()
+	chain := newReader(root)
 	for {
-		listing, err := histories.store.List(ctx, store.List{Topic: Topic, Part: part, After: after})
+		listing, err := histories.store.List(ctx, store.List{Topic: Topic, Part: part, After: chain.after})
 		if err != nil {
 			return err
 		}
-		own := false
 		for _, record := range listing.Records {
-			after = record.Key
-			if len(record.Key) < len(prefix) || record.Key[:len(prefix)] != prefix {
-				continue
+			if err := chain.read(record); err != nil {
+				return err
 			}
-			own = true
-			var turn Turn
-			if err := codec.Unmarshal(record.Value, &turn); err != nil {
-				return fmt.Errorf("decode turn %q: %w", record.Key, err)
-			}
-			histories.archive.put(&turn, now)
 		}
-		if !listing.More || !own {
-			return nil
+		if !listing.More || chain.ended {
+			break
 		}
 	}
+	now := histories.clock.Now()
+	for _, turn := range chain.turns {
+		histories.archive.put(turn, now)
+	}
+	return nil
 }
 
 // rootOf returns the first turn of the chain of a turn.
 func (histories *Histories) rootOf(ctx context.Context, part int, id string) (string, error) {
-	key := rootPrefix + id
+	key := rootPrefix + keyOf(id)
 	listing, err := histories.store.List(ctx, store.List{Topic: Topic, Part: part, After: before(key)})
 	if err != nil {
 		return "", err
@@ -276,10 +270,3 @@
 	}
 	return "", ErrNoTurn
 }
-
-// before returns a key that sorts before a key and after nearly all that are
-// less.
-func before(key string) string {
-	last := len(key) - 1
-	return key[:last] + string([]byte{key[last] - 1, '~'})
-}
--- /dev/null
+++ b/internal/history/record_test.go
@@ -0,0 +1,120 @@
+package history
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/godwitspread/godwitspread/internal/store"
+)
+
+// memory is a store that refuses what is too large, and lists a few records at
+// a time.
+type memory struct {
+	record, call int // bytes
+	newest       map[string][]byte
+}
+
+func (memory *memory) Append(_ context.Context, batch store.Append) (int64, error) {
+	size := 0
+	for _, record := range batch.Records {
+		if size += len(record.Value); len(record.Key) > 255 || len(record.Value)+len(record.Key)+1 > memory.record || size > memory.call {
+			return 0, store.ErrInvalid
+		}
+	}
+	for _, record := range batch.Records {
+		memory.newest[record.Key] = record.Value
+	}
+	return 0, nil
+}
+
+func (memory *memory) Read(context.Context, store.Read) (store.Page, error) {
+	return store.Page{}, nil
+}
+
+func (memory *memory) List(_ context.Context, list store.List) (store.Listing, error) {
+	var keys []string
+	for key := range memory.newest {
+		if key > list.After {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > 3
+	var records []store.Record
+	for _, key := range keys[:min(3, len(keys))] {
+		records = append(records, store.Record{Key: key, Value: memory.newest[key]})
+	}
+	return store.Listing{Records: records, More: more}, nil
+}
+
+func (memory *memory) host(t *testing.T) *Histories {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	logger := &log.Logger{Handler: discard.Default}
+	clock := clockwork.NewRealClock()
+	return New(Parts{
+		Store: memory, Writer: store.NewWriter(ctx, memory, clock, logger, "h/1"), Clock: clock, Logger: logger, Peers: alone{}, Partitions: 1,
+		MemoryBytes: 64 << 20, Bounds: Bounds{Record: memory.record, Call: memory.call}, Reachable: func() bool { return true },
+	})
+}
+
+// TestLargeTurn checks that a turn larger than a record is kept, and that one
+// which the store cannot take is refused before it runs.
+func TestLargeTurn(t *testing.T) {
+	is := is.New(t)
+	memory := &memory{record: 4096, call: 64 << 10, newest: make(map[string][]byte)}
+	first := Turn{ID: "a1", Workspace: "w", Input: bytes.Repeat([]byte("question "), 2000), Output: bytes.Repeat([]byte("answer\n"), 2000), Retention: time.Minute}
+	second := Turn{ID: "a2", Previous: "a1", Workspace: "w", Input: []byte("and then"), Output: []byte("yes\n"), Retention: time.Minute}
+	one := memory.host(t)
+	is.NoErr(one.Ready(len(first.Input)))
+	is.NoErr(one.Keep(context.Background(), "p", first))
+	is.NoErr(one.Keep(context.Background(), "p", second))
+	is.True(errors.Is(one.Ready(60<<10), ErrTooLarge))
+	other := memory.host(t)
+	input, err := other.Input(context.Background(), "p", "w", "a2")
+	is.NoErr(err)
+	is.True(bytes.Equal(input, bytes.Join([][]byte{first.Input, first.Output, second.Input, second.Output}, nil)))
+	var records []store.Record
+	for key, value := range memory.newest {
+		records = append(records, store.Record{Key: key, Value: value})
+	}
+	is.Equal(len(Over(records, time.Now())), 0)
+	is.Equal(len(Over(records, time.Now().Add(time.Hour))), len(records))
+}
+
+// TestAnyID checks that callers may choose any id for their turns.
+func TestAnyID(t *testing.T) {
+	ids := rapid.OneOf(rapid.String(), rapid.StringMatching(`[a-z/~. -]{1,6}`), rapid.Just(strings.Repeat("x", 128)))
+	rapid.Check(t, func(r *rapid.T) {
+		is := is.New(t)
+		first, second := ids.Draw(r, "first"), ids.Draw(r, "second")
+		if first == second || first == "" || second == "" {
+			return
+		}
+		memory := &memory{record: 4096, call: 64 << 10, newest: make(map[string][]byte)}
+		one := memory.host(t)
+		is.NoErr(one.Keep(context.Background(), "p", Turn{ID: first, Workspace: "w", Input: []byte("1"), Retention: time.Minute}))
+		is.NoErr(one.Keep(context.Background(), "p", Turn{ID: second, Previous: first, Workspace: "w", Input: []byte("2"), Retention: time.Minute}))
+		input, err := memory.host(t).Input(context.Background(), "p", "w", second)
+		is.NoErr(err)
+		is.Equal(string(input), "12")
+		var records []store.Record
+		for key, value := range memory.newest {
+			records = append(records, store.Record{Key: key, Value: value})
+		}
+		is.Equal(len(Over(records, time.Now())), 0)
+		_, err = memory.host(t).Input(context.Background(), "p", "w", first+"?")
+		is.True(first+"?" == second || errors.Is(err, ErrNoTurn))
+	})
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -233,6 +233,13 @@
 	return live
 }
 
+// Size returns the number of hosts, this one included.
+func (mesh *Mesh) Size() int {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return len(mesh.members) + 1
+}
+
 // Elsewhere reports whether a host of another data centre is heard.
 func (mesh *Mesh) Elsewhere() bool {
 	mesh.mutex.Lock()
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -19,12 +19,12 @@
 )
 
 const (
-	dialTimeout   = 300 * time.Millisecond // some hundred times the way; a lost opening packet is sent again only after a second
-	idlePerTarget = 6                      // connections kept open to one target
-	idleLimit     = 4 * time.Second        // for targets that do not say how long they keep a connection
-	idleMargin    = 800 * time.Millisecond // given up before the target would close
-	maxStray      = 4                      // answers to earlier requests that are passed over on a connection
-	readBuffer    = 4 << 10
+	dialTimeout = 300 * time.Millisecond // some hundred times the way; a lost opening packet is sent again only after a second
+	mostIdle    = 6                      // connections kept open to one target
+	idleLimit   = 4 * time.Second        // for targets that do not say how long they keep a connection
+	idleMargin  = 800 * time.Millisecond // given up before the target would close
+	maxStray    = 4                      // answers to earlier requests that are passed over on a connection
+	readBuffer  = 4 << 10
 )
 
 // SendError reports an exchange without an answer. Sent tells whether the
@@ -51,6 +51,7 @@
 
 	mutex  sync.Mutex
 	idle   map[string][]*conn
+	bounds map[string]int // idle connections by target, if fewer than usual
 	opened int64
 }
 
@@ -236,7 +237,7 @@
 	pool.mutex.Lock()
 	list := pool.idle[connection.key]
 	var oldest *conn
-	if len(list) >= idlePerTarget {
+	if len(list) >= pool.boundOf(connection.key) {
 		oldest, list = list[0], list[1:]
 	}
 	pool.idle[connection.key] = append(list, connection)
@@ -246,6 +247,23 @@
 	}
 }
 
+// boundOf returns how many idle connections are kept. The pool is locked.
+func (pool *Pool) boundOf(key string) int {
+	id, _, _ := strings.Cut(key, "@")
+	if bound, ok := pool.bounds[id]; ok {
+		return min(max(1, bound), mostIdle)
+	}
+	return mostIdle
+}
+
+// Bound limits the idle connections to each target, so that all hosts together
+// leave the target room for busy ones.
+func (pool *Pool) Bound(bounds map[string]int) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.bounds = bounds
+}
+
 // Forget closes the idle connections to targets for which keep is false, and
 // those idle for too long.
 func (pool *Pool) Forget(keep func(id string) bool) {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -109,15 +109,15 @@
 	return len(board.targets)
 }
 
-// IDs returns the ids of all targets.
-func (board *Board) IDs() []string {
+// Targets returns all targets.
+func (board *Board) Targets() []Target {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	ids := make([]string, 0, len(board.targets))
-	for id := range board.targets {
-		ids = append(ids, id)
+	targets := make([]Target, 0, len(board.targets))
+	for _, seat := range board.targets {
+		targets = append(targets, seat.target)
 	}
-	return ids
+	return targets
 }
 
 // Weights of the cost of a target. A full target costs a whole waiting turn.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -100,6 +100,58 @@
 	is.True(last > 7)
 }
 
+// TestWriterFollowsSequence checks that a batch out of sequence is appended
+// under the number that the store expects, and that later ones follow it.
+func TestWriterFollowsSequence(t *testing.T) {
+	is := is.New(t)
+	target := &scripted{answer: func(call int) error {
+		if call == 2 {
+			return &SequenceError{Expected: 5}
+		}
+		return nil
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	writer := NewWriter(ctx, target, clockwork.NewRealClock(), quiet, "h/1")
+	for range 3 {
+		_, err := writer.Append(context.Background(), "t", 0, Record{Key: "k", Value: []byte("v")})
+		is.NoErr(err)
+	}
+	var sequences []int64
+	for _, batch := range target.batches {
+		sequences = append(sequences, batch.Sequence)
+	}
+	is.Equal(sequences, []int64{0, 1, 5, 6})
+}
+
+// TestWriterBoundsBatches checks that no batch outgrows its size because of
+// what waits behind it.
+func TestWriterBoundsBatches(t *testing.T) {
+	is := is.New(t)
+	target := &scripted{delay: 20 * time.Millisecond}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	writer := NewWriter(ctx, target, clockwork.NewRealClock(), quiet, "h/1")
+	var waiting []Queued
+	for range 8 {
+		queued, err := writer.Queue("t", 0, Record{Key: "k", Value: make([]byte, batchBytes*2/3)})
+		is.NoErr(err)
+		waiting = append(waiting, queued)
+	}
+	for _, queued := range waiting {
+		_, err := queued.Wait(context.Background())
+		is.NoErr(err)
+	}
+	for _, batch := range target.batches {
+		size := 0
+		for _, record := range batch.Records {
+			size += len(record.Value)
+		}
+		is.True(size <= batchBytes)
+	}
+	is.Equal(target.calls(), 8)
+}
+
 // TestWriterRefuses checks that an answer of the store ends a batch.
 func TestWriterRefuses(t *testing.T) {
 	is := is.New(t)
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -16,6 +16,7 @@
 	batchBytes    = 256 << 10             // records of one append, in bytes
 	retryInterval = 40 * time.Millisecond // first pause after a failed append; about ten answers of a healthy store
 	retryCeiling  = 500 * time.Millisecond
+	maxResyncs    = 3                       // for one batch
 	appendTimeout = 2500 * time.Millisecond // a slow store answers within 60 times its usual 4 ms, queued appends within 2 s
 )
 
@@ -77,9 +78,6 @@
 	}
 }
 
-// Done is closed once the append has been answered.
-func (queued Queued) Done() <-chan struct{} { return queued.pending.done }
-
 // Queue hands over records without waiting.
 func (writer *Writer) Queue(topic string, part int, records ...Record) (Queued, error) {
 	item := &pending{records: records, done: make(chan struct{})}
@@ -105,21 +103,24 @@
 
 func (writer *Writer) run(name laneName, lane chan *pending) {
 	sequence := int64(0)
+	var next *pending // did not fit into the last batch
 	for {
-		var batch []*pending
-		select {
-		case <-writer.ctx.Done():
-			return
-		case item := <-lane:
-			batch = gather(item, lane)
+		if next == nil {
+			select {
+			case <-writer.ctx.Done():
+				return
+			case next = <-lane:
+			}
 		}
+		var batch []*pending
+		batch, next = gather(next, lane)
 		var records []Record
 		for _, item := range batch {
 			records = append(records, item.records...)
 		}
-		offset, err := writer.append(Append{Topic: name.topic, Part: name.part, Producer: writer.producer, Sequence: sequence, Records: records})
+		offset, last, err := writer.number(Append{Topic: name.topic, Part: name.part, Producer: writer.producer, Sequence: sequence, Records: records})
 		if err == nil {
-			sequence++
+			sequence = last + 1
 		}
 		for _, item := range batch {
 			item.offset, item.err = offset, err
@@ -129,20 +130,37 @@
 	}
 }
 
-// gather adds the records that wait already.
-func gather(first *pending, lane chan *pending) []*pending {
-	batch := []*pending{first}
+// number appends a batch under the number that the store expects, which is not
+// the lane's if the store has lost or gained batches. Records appended twice do
+// no harm: a key keeps its newest record.
+func (writer *Writer) number(batch Append) (offset, sequence int64, err error) {
+	for range maxResyncs {
+		offset, err = writer.append(batch)
+		var expected *SequenceError
+		if !errors.As(err, &expected) {
+			break
+		}
+		batch.Sequence = expected.Expected
+	}
+	return offset, batch.Sequence, err
+}
+
+// gather adds the records that wait already, up to the size of a batch. It
+// returns the first that does not fit.
+func gather(first *pending, lane chan *pending) (batch []*pending, next *pending) {
+	batch = []*pending{first}
 	size := bytesOf(first)
-	for size < batchBytes {
+	for {
 		select {
 		case item := <-lane:
+			if size += bytesOf(item); size > batchBytes {
+				return batch, item
+			}
 			batch = append(batch, item)
-			size += bytesOf(item)
 		default:
-			return batch
+			return batch, nil
 		}
 	}
-	return batch
 }
 
 func bytesOf(item *pending) int {
