Choose between two targets drawn at random; keep rates beside cuts; commands for operators

Cause: all hosts compared all targets by loads a quarter of a second old, so all sent to the same one.

Accounts of hosts that were no longer their keepers, and those used while cut off, went on being granted the limit; cut off hosts used their whole portion before the keeper had noticed.

New: godwitspread hosts, request and completion.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -111,8 +111,18 @@
 			}
 		}
 	}
-	_, err := parser.AddCommand("status", "Show hosts, targets, slots and freshness", "", &statusCommand{client: client})
-	return err
+	singles := []entry{
+		{"status", "Show hosts, targets, slots and freshness", &statusCommand{client: client}},
+		{"hosts", "Show the entry hosts on the users' platform: versions, ages, what is lost", &hostsCommand{client: client}},
+		{"request", "Find an attempt or a program in the logs of hosts, and what they believed", &requestCommand{client: client}},
+		{"completion", "Print the completion script of a shell", &completionCommand{client: client}},
+	}
+	for _, entry := range singles {
+		if _, err := parser.AddCommand(entry.name, entry.summary, "", entry.command); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // context bounds the command.
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -26,7 +26,11 @@
 	}
 	settings, err := daemon.Parse(arguments)
 	if err != nil {
-		return usage(err, stdout, stderr)
+		code := usage(err, stdout, stderr)
+		if code == ExitDone {
+			fmt.Fprintln(stdout, "\nOn the users' platform: godwitspreadd gateway --help")
+		}
+		return code
 	}
 	if settings.Version {
 		fmt.Fprintln(stdout, "godwitspreadd", Version)
--- /dev/null
+++ b/internal/cli/hosts.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/godwitspread/godwitspread/internal/gateway"
+)
+
+type hostsCommand struct{ client *client }
+
+// hostLine is the answer of one entry host on the users' platform.
+type hostLine struct {
+	Daemon string          `json:"daemon"`
+	Error  string          `json:"error,omitempty"`
+	Status *gateway.Status `json:"status,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (command *hostsCommand) Execute([]string) error {
+	client := command.client
+	if len(client.options.Daemons) == 0 {
+		return errors.New("--daemon is missing, expected the operators' address of at least one host")
+	}
+	ctx, cancel := client.context()
+	defer cancel()
+	var lines []hostLine
+	var rows [][]string
+	for _, address := range client.options.Daemons {
+		var status gateway.Status
+		if err := client.fetch(ctx, address, "/status", &status); err != nil {
+			client.code = ExitFailed
+			lines = append(lines, hostLine{Daemon: address, Error: err.Error()})
+			rows = append(rows, []string{address, "-", "no answer", "-", "-", "-", "-", "-", "-", err.Error()})
+			continue
+		}
+		lines = append(lines, hostLine{Daemon: address, Status: &status})
+		rows = append(rows, hostRow(address, status))
+	}
+	return client.print(lines, []string{"DAEMON", "HOST", "STATE", "VERSION", "CONFIG AGE", "STORE", "REQUESTS", "TARGETS", "PEERS", "LOST"}, rows)
+}
+
+func hostRow(address string, status gateway.Status) []string {
+	state := "ready"
+	switch {
+	case status.Stopping:
+		state = "stopping"
+	case !status.Ready:
+		state = "not ready"
+	}
+	store := "reached"
+	if !status.StoreReached {
+		store = "lost"
+	} else if status.StoreFailed != "" {
+		store = "failed " + status.StoreFailed
+	}
+	lost := "nothing"
+	if len(status.Lost) > 0 {
+		lost = strings.Join(status.Lost, ", ")
+	}
+	configurationAge := "never read"
+	if status.ConfigurationAge != "" {
+		configurationAge = status.ConfigurationAge
+	}
+	return []string{
+		address, status.DataCentre + "/" + status.Host, state, strconv.FormatInt(status.Version, 10), configurationAge, store,
+		strconv.FormatInt(status.Requests, 10), strconv.Itoa(status.Targets), strconv.Itoa(len(status.Peers)), lost,
+	}
+}
--- /dev/null
+++ b/internal/cli/hosts_test.go
@@ -0,0 +1,42 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/godwitspread/godwitspread/internal/gateway"
+)
+
+func TestHosts(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		status := gateway.Status{
+			Host: "a-1", DataCentre: "bkk-a", Ready: false, Version: 7, ConfigurationAge: "120ms", StoreReached: false, Requests: 3, Targets: 26,
+			Lost: []string{"store", "b-2"}, Peers: []gateway.PeerStatus{{Host: "a-2"}},
+		}
+		if err := json.NewEncoder(writer).Encode(status); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	var stdout, stderr bytes.Buffer
+	is.Equal(Client([]string{"hosts", "--daemon", address, "--daemon", "127.0.0.1:1"}, &stdout, &stderr), ExitFailed) // one does not answer
+	lines := strings.Split(strings.TrimSpace(stdout.String()), "\n")
+	is.Equal(len(lines), 3)
+	is.Equal(strings.Fields(lines[1]), []string{address, "bkk-a/a-1", "not", "ready", "7", "120ms", "lost", "3", "26", "1", "store,", "b-2"})
+	is.True(strings.Contains(lines[2], "no answer"))
+	stdout.Reset()
+	is.Equal(Client([]string{"-o", "json", "hosts", "--daemon", address}, &stdout, &stderr), ExitDone)
+	var answers []hostLine
+	is.NoErr(json.Unmarshal(stdout.Bytes(), &answers))
+	is.Equal(answers[0].Status.Version, int64(7))
+	is.Equal(Client([]string{"hosts"}, &stdout, &stderr), ExitFailed)
+	is.True(strings.Contains(stderr.String(), "--daemon is missing"))
+}
--- /dev/null
+++ b/internal/cli/request_test.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const logOfA = `noise
+36.09 dc-1 {"time":"2026-12-04T10:00:36.09Z","level":"info","message":"request refused","fields":{"attempt":"a1","program":"p1","reason":"budget_unavailable","status":503}}
+34.38 dc-1 {"time":"2026-12-04T10:00:34.38Z","level":"warn","message":"cut off from the store and all other data centres; leaving the rotation"}
+20.00 dc-1 {"time":"2026-12-04T10:00:20Z","level":"info","message":"host started"}
+36.00 dc-1 {"time":"2026-12-04T10:00:36Z","level":"info","message":"request served","fields":{"attempt":"b1","program":"p2"}}
+{"time": broken
+`
+
+const logOfB = `{"time":"2026-12-04T10:00:30Z","level":"info","message":"part of a budget taken","fields":{"program":"p1","asked":520}}
+{"time":"2026-12-04T10:00:29Z","level":"warn","message":"direct path to the store failed; calling through other hosts"}
+`
+
+func TestRequest(t *testing.T) {
+	folder := t.TempDir()
+	files := []string{filepath.Join(folder, "a.log"), filepath.Join(folder, "dc-2.log")}
+	for index, text := range []string{logOfA, logOfB} {
+		if err := os.WriteFile(files[index], []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tests := []struct {
+		name  string
+		id    string
+		code  int
+		lines []string // parts of the lines in their order
+	}{
+		{"attempt with its program on both hosts", "a1", ExitDone, []string{
+			"dc-2  warn   direct path to the store failed", "dc-2  info   part of a budget taken", "dc-1  warn   cut off", "dc-1  info   request refused",
+		}},
+		{"program", "p2", ExitDone, []string{"dc-1  warn   cut off", "dc-1  info   request served"}},
+		{"unknown", "nothing", ExitFailed, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var stdout, stderr bytes.Buffer
+			is.Equal(Client(append([]string{"request", test.id}, files...), &stdout, &stderr), test.code)
+			lines := strings.Split(strings.TrimSpace(stdout.String()), "\n")[1:]
+			if test.code != ExitDone {
+				is.True(strings.Contains(stderr.String(), `names "nothing"`))
+				return
+			}
+			is.Equal(len(lines), len(test.lines))
+			for index, part := range test.lines {
+				is.True(strings.Contains(lines[index], part)) // lines[index]
+			}
+		})
+	}
+}
+
+func TestCompletion(t *testing.T) {
+	is := is.New(t)
+	for _, shell := range []string{"bash", "zsh", "fish"} {
+		var stdout, stderr bytes.Buffer
+		is.Equal(Client([]string{"completion", shell}, &stdout, &stderr), ExitDone)
+		is.True(strings.Contains(stdout.String(), "GO_FLAGS_COMPLETION=1"))
+	}
+	var stdout, stderr bytes.Buffer
+	is.Equal(Client([]string{"completion", "tcsh"}, &stdout, &stderr), ExitFailed)
+	is.True(strings.Contains(stderr.String(), `shell is "tcsh"`))
+}
--- a/internal/experiment/patterns.go
+++ b/internal/experiment/patterns.go
@@ -60,5 +60,13 @@
 			Name: "orders, bursts within the rate", Size: small, Kinds: orders(1.2), Workspaces: []string{"schools"}, Length: 120 * time.Second,
 			Load: burst(20*time.Second, 4*time.Second, 2), Limit: lowered(0, 38, 38), Policies: rates,
 		},
+		{
+			Name: "meetings, burst over 10 hosts", Size: small, Kinds: meetings(24), Workspaces: []string{"temple"}, Length: 20 * time.Second,
+			Load: burst(8*time.Second, 4*time.Second, 1.7), Policies: ChoicePolicies(),
+		},
+		{
+			Name: "meetings, burst over 91 hosts", Size: Size{Hosts: 91, Engines: 36, Tools: 55}, Kinds: meetings(91), Workspaces: []string{"temple"}, Length: 10 * time.Second,
+			Load: burst(4*time.Second, 3*time.Second, 1.7), Policies: ChoicePolicies(),
+		},
 	}
 }
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -4,11 +4,12 @@
 	"math"
 	"time"
 
+	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/quota"
 )
 
 // OursName is the policy that hosts use.
-const OursName = "programs by what they need"
+const OursName = "ours"
 
 // RatePolicies are ways to keep a workspace within its rate: ours, and rivals.
 func RatePolicies() []Policy {
@@ -17,11 +18,21 @@
 	generous.Promise = 1.7
 	patient.Patience = 1200 * time.Millisecond
 	return []Policy{
-		{OursName, accountRates(quota.Usual)},
-		{"promising less", accountRates(cautious)},
-		{"promising more", accountRates(generous)},
-		{"waiting longer", accountRates(patient)},
-		{"each request by itself", bucketRates},
+		{OursName, accountRates(quota.Usual), placement.SampleSize},
+		{"promising less", accountRates(cautious), placement.SampleSize},
+		{"promising more", accountRates(generous), placement.SampleSize},
+		{"waiting longer", accountRates(patient), placement.SampleSize},
+		{"each request by itself", bucketRates, placement.SampleSize},
+	}
+}
+
+// ChoicePolicies are ways to choose among targets: ours, and rivals.
+func ChoicePolicies() []Policy {
+	return []Policy{
+		{OursName, accountRates(quota.Usual), placement.SampleSize},
+		{"compare four targets", accountRates(quota.Usual), 4},
+		{"compare all targets", accountRates(quota.Usual), math.MaxInt},
+		{"any target", accountRates(quota.Usual), 1},
 	}
 }
 
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -84,9 +84,11 @@
 	}
 }
 
-// watch notices when this host is cut off with its data centre, or alone.
+// watch notices when this host is cut off with its data centre, or alone, and
+// when other hosts have taken over from it.
 func (gateway *Gateway) watch() {
 	gateway.board.SetSilent(gateway.mesh.SilentDataCentres())
+	gateway.limiter.Tidy()
 	isolated := !gateway.store.Reachable() && !gateway.mesh.Elsewhere()
 	if gateway.isolated.Swap(isolated) == isolated {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -93,7 +94,7 @@
 func New(settings platform.Settings, clock clockwork.Clock, logger log.Interface) *Gateway {
 	gateway := &Gateway{
 		settings: settings, clock: clock, logger: logger, metrics: metric.New(settings.Host, settings.DataCentre),
-		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre),
+		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre, placement.SampleSize, mathrand.IntN),
 		pool: outbound.NewPool(clock), suspects: placement.NewSuspects(),
 	}
 	gateway.ctx, gateway.cancel = context.WithCancel(context.Background())
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -3,6 +3,8 @@
 package placement
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,8 +36,11 @@
 	targets map[string]*seat
 	groups  map[string][]*seat // by service
 	homes   map[string]home    // last target by affinity
-	silent  map[string]bool    // data centres that are not heard
-	missing map[string]bool    // targets whose entries are gone, but may return
+	sample  int
+	draw    func(int) int
+	scratch []*seat
+	silent  map[string]bool // data centres that are not heard
+	missing map[string]bool // targets whose entries are gone, but may return
 }
 
 type seat struct {
@@ -59,9 +64,10 @@
 	avoidCeiling  = 8 * time.Second
 )
 
-// NewBoard returns a board for a host in a data centre.
-func NewBoard(dataCentre string) *Board {
-	return &Board{dataCentre: dataCentre, targets: make(map[string]*seat), groups: make(map[string][]*seat), homes: make(map[string]home)}
+// NewBoard returns a board for a host in a data centre that compares a number
+// of targets for a request. Draw returns a random number below another.
+func NewBoard(dataCentre string, sample int, draw func(int) int) *Board {
+	return &Board{dataCentre: dataCentre, sample: sample, draw: draw, targets: make(map[string]*seat), groups: make(map[string][]*seat), homes: make(map[string]home)}
 }
 
 // Put adds a target or replaces what is known of it. It reports a change of
@@ -100,6 +106,9 @@
 	for _, seat := range board.targets {
 		board.groups[seat.target.Service] = append(board.groups[seat.target.Service], seat)
 	}
+	for _, group := range board.groups {
+		slices.SortFunc(group, func(left, right *seat) int { return strings.Compare(left.target.ID, right.target.ID) })
+	}
 }
 
 // Len returns the number of targets.
@@ -129,26 +138,36 @@
 	coldFactor = 0.5
 )
 
-// Choose returns the target with the lowest cost and counts the request as
-// under way there. The caller must call Done with the id.
+// SampleSize is how many targets are compared for a request. Hosts know each
+// other's load a quarter of a second late: if all compared all targets, all
+// would send to the same one meanwhile.
+const SampleSize = 2
+
+// Choose returns the target with the lowest cost of a few drawn at random, or
+// the one of the request's affinity, and counts the request as under way there.
+// The caller must call Done with the id.
 func (board *Board) Choose(request Request, now time.Time) (Target, bool) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
+	preferred := board.homes[request.Affinity].id
+	if request.Affinity == "" {
+		preferred = ""
+	}
+	candidates := board.candidates(request, now)
 	var best *seat
 	lowest := 0.0
-	preferred := board.homes[request.Affinity].id
-	for _, seat := range board.groups[request.Service] {
-		if seat.target.Draining || contains(request.Tried, seat.target.ID) {
+	for index, seat := range candidates {
+		if index >= board.sample && seat.target.ID != preferred {
 			continue
 		}
 		cost := seat.cost(board.dataCentre, now)
-		if board.silent[seat.target.DataCentre] || board.missing[seat.target.ID] {
+		if board.doubtful(seat, now) {
 			cost += avoidCost
 		}
-		if request.Affinity != "" && seat.target.ID == preferred {
+		if preferred != "" && seat.target.ID == preferred {
 			cost -= homeGain
 		}
-		if best == nil || cost < lowest || cost == lowest && seat.target.ID < best.target.ID {
+		if best == nil || cost < lowest {
 			best, lowest = seat, cost
 		}
 	}
@@ -162,6 +181,38 @@
 	return best.target, true
 }
 
+// candidates returns the targets that may run a request, the first of them
+// drawn at random. Those that are in doubt come last.
+func (board *Board) candidates(request Request, now time.Time) []*seat {
+	board.scratch = board.scratch[:0]
+	sound := 0
+	for _, seat := range board.groups[request.Service] {
+		if seat.target.Draining || contains(request.Tried, seat.target.ID) {
+			continue
+		}
+		board.scratch = append(board.scratch, seat)
+		if !board.doubtful(seat, now) {
+			last := len(board.scratch) - 1
+			board.scratch[sound], board.scratch[last] = board.scratch[last], board.scratch[sound]
+			sound++
+		}
+	}
+	drawn := board.scratch[:sound]
+	if sound == 0 {
+		drawn = board.scratch
+	}
+	for index := range min(board.sample, len(drawn)) {
+		other := index + board.draw(len(drawn)-index)
+		drawn[index], drawn[other] = drawn[other], drawn[index]
+	}
+	return drawn
+}
+
+// doubtful reports whether a target is used only if no other is left.
+func (board *Board) doubtful(seat *seat, now time.Time) bool {
+	return now.Before(seat.avoidUntil) || board.silent[seat.target.DataCentre] || board.missing[seat.target.ID]
+}
+
 func (seat *seat) cost(dataCentre string, now time.Time) float64 {
 	load := float64(seat.own + seat.others)
 	slots := float64(max(1, seat.target.Slots))
@@ -175,9 +226,6 @@
 	if seat.target.Cold > 0 {
 		cost *= 1 + coldFactor
 	}
-	if now.Before(seat.avoidUntil) {
-		cost += avoidCost
-	}
 	return cost
 }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -25,7 +25,7 @@
 
 // reserveShare is the part of the tolerance that programs under way may use;
 // the rest covers accounts that move between hosts.
-const reserveShare = 0.5
+const reserveShare = 0.4
 
 // Limit returns the limit of a workspace.
 func (terms Terms) Limit(rate, burst float64) Limit {
@@ -71,10 +71,12 @@
 	Admitted bool          `msgpack:"a,omitempty"`
 	Delay    time.Duration `msgpack:"d,omitempty"` // until it may run
 	Retry    time.Duration `msgpack:"t,omitempty"`
+	// Elsewhere tells that the host asked does not keep the account.
+	Elsewhere bool `msgpack:"e,omitempty"`
 }
 
 const (
-	startTime      = 250 * time.Millisecond // of the limit that a new account has: the account before it may have used the rest
+	startTime      = 100 * time.Millisecond // of the limit that a new account has: the account before it may have used the rest
 	programSilence = 4 * time.Second        // after its last request a program is taken for ended
 	pauseTime      = 900 * time.Millisecond // between requests of a program that is under way
 	firstLength    = 10                     // requests of a program before any has been seen to end
@@ -230,8 +232,13 @@
 // or from what becomes free soon.
 func (account *Account) goOn(question Question, now time.Time) Answer {
 	answer := Answer{Admitted: true}
-	if free := account.window.free(account.limit.Reserve); free < 1 {
-		wait, found := account.window.wait(1-free, account.limit.Reserve, account.policy.Patience)
+	reserve := account.limit.Reserve
+	if !account.window.whole() {
+		// The tolerance is needed for what other hosts have used meanwhile.
+		reserve = 0
+	}
+	if free := account.window.free(reserve); free < 1 {
+		wait, found := account.window.wait(1-free, reserve, account.policy.Patience)
 		if !found {
 			return Answer{Retry: retry(wait)}
 		}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -19,7 +19,13 @@
 	Portion() (heard, alone float64)
 }
 
-const accountIdle = time.Minute // after which an account is dropped
+const (
+	accountIdle = time.Minute // after which an account is dropped
+	aloneIdle   = time.Second
+	// aloneShare is the part of a host's portion that it uses without the
+	// keeper, which may not have noticed yet that the host is cut off.
+	aloneShare = 0.3
+)
 
 // Limiter admits requests on one host.
 type Limiter struct {
@@ -83,26 +89,47 @@
 		return limiter.Serve(question)
 	}
 	answer, err := limiter.keepers.AskQuota(ctx, address, question)
-	if err == nil {
+	if err == nil && !answer.Elsewhere {
 		return answer
 	}
 	limiter.metrics.Retried("quota_keeper_lost")
 	_, alone := limiter.keepers.Portion()
-	return limiter.serve(limiter.alone, question, alone)
+	return limiter.serve(limiter.alone, question, alone*aloneShare)
 }
 
 // Serve answers a question as the keeper of the workspace's account.
 func (limiter *Limiter) Serve(question Question) Answer {
+	if _, self := limiter.keepers.Home(question.Workspace); !self {
+		return Answer{Elsewhere: true}
+	}
 	heard, _ := limiter.keepers.Portion()
 	return limiter.serve(limiter.accounts, question, heard)
 }
 
+// Tidy drops accounts that this host keeps no longer, or has not used: what
+// they were granted meanwhile is another host's.
+func (limiter *Limiter) Tidy() {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	now := limiter.clock.Now()
+	for workspace, account := range limiter.accounts {
+		if _, self := limiter.keepers.Home(workspace); !self || now.Sub(account.updated) > accountIdle {
+			delete(limiter.accounts, workspace)
+		}
+	}
+	for workspace, account := range limiter.alone {
+		if now.Sub(account.updated) > aloneIdle {
+			delete(limiter.alone, workspace)
+		}
+	}
+}
+
 func (limiter *Limiter) serve(accounts map[string]*Account, question Question, portion float64) Answer {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	now := limiter.clock.Now()
 	account, ok := accounts[question.Workspace]
-	if !ok || now.Sub(account.updated) > accountIdle {
+	if !ok {
 		account = NewAccount(question.Limit, Usual, limiter.habits, now)
 		accounts[question.Workspace] = account
 	}
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// whole reports whether all of the limit has been granted for the whole span.
+func (window *window) whole() bool {
+	const rounding = 1e-6
+	return window.shared >= float64(window.slots)-rounding
+}
+
 // free returns what is left of the grants, and of an amount beyond them.
 func (window *window) free(extra float64) float64 {
 	return window.granted + extra*window.shared/float64(window.slots) - window.used
