--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	go test -race -timeout 15m ./...
 
 lint:
-	@files=$$(gofmt -l cmd internal pkg); test -z "$$files" || { echo "gofmt: $$files"; exit 1; }
+	@files=$$(gofmt -l cmd internal pkg platform); test -z "$$files" || { echo "gofmt: $$files"; exit 1; }
+	@long=$$(find cmd internal pkg platform -name '*.go' | xargs wc -l | awk '$$1 > 400 && $$2 != "total"'); test -z "$$long" || { echo "over 400 lines: $$long"; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
 
--- /dev/null
+++ b/internal/bench/slopes_sizes.go
@@ -0,0 +1,303 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/configuration"
+	"github.com/godwitspread/godwitspread/internal/host"
+	"github.com/godwitspread/godwitspread/internal/ledger"
+	"github.com/godwitspread/godwitspread/internal/peer"
+	"github.com/godwitspread/godwitspread/internal/program"
+	"github.com/godwitspread/godwitspread/internal/target"
+	"github.com/godwitspread/godwitspread/internal/workspace"
+)
+
+// bookRecords opens programs and commits a turn in each.
+func bookRecords(programs int) []ledger.Record {
+	records := []ledger.Record{}
+	for slot := range ledger.SlotCount {
+		records = append(records, ledger.Record{
+			ID: fmt.Sprint("c", slot), Slot: slot, Epoch: 1, Claim: &ledger.Claim{Host: "host-17", Incarnation: "incarnation17"},
+		})
+	}
+	for index := range programs {
+		id := fmt.Sprintf("dc-north-1.%d.%026d", index%ledger.SlotCount, index)
+		records = append(records,
+			ledger.Record{ID: fmt.Sprint("incarnation17/", 2*index), Slot: index % ledger.SlotCount, Epoch: 1, Program: id, Open: &ledger.Open{
+				Root: id, Workspace: "workspace-4711", Budget: 400_000, Granted: 50_000, Limits: ledger.Limits{Turns: 110, Time: time.Hour, Idle: time.Minute},
+			}},
+			ledger.Record{ID: fmt.Sprint("incarnation17/", 2*index+1), Slot: index % ledger.SlotCount, Epoch: 1, Program: id, Turn: &ledger.Turn{
+				Call: "call-000001", Number: 1, Head: ledger.Location{Offset: 123456, Index: 3}, Spent: 900, Granted: 50_000, Age: time.Minute,
+			}},
+		)
+	}
+	return records
+}
+
+func ledgerSlopes() []slope {
+	sizes := []int{1000, 5000, 15_000}
+	memory := measureAll("ledger fold: memory of a program", "B", sizes, func(size int) float64 {
+		records := bookRecords(size)
+		return heapOf(size, func() any {
+			book := ledger.NewBook()
+			for offset, record := range records {
+				book.Apply(int64(offset), record)
+			}
+			return book
+		}, records)
+	})
+	apply := measureAll("ledger fold: processor of a record", "us", sizes, func(size int) float64 {
+		records := bookRecords(size)
+		data, err := ledger.EncodeBatch(records)
+		if err != nil {
+			panic(err) // records of this program always encode
+		}
+		return microsOf(1, func(int) {
+			decoded, _, err := ledger.DecodeBatch(data)
+			if err != nil {
+				panic(err)
+			}
+			book := ledger.NewBook()
+			for offset, record := range decoded {
+				book.Apply(int64(offset), record)
+			}
+		}) / float64(len(records))
+	})
+	records := bookRecords(1)
+	open, turn := records[len(records)-2], records[len(records)-1]
+	intent, outcome := turn, turn
+	intent.Turn, outcome.Turn = nil, nil
+	intent.Intent = &ledger.Intent{Call: "call-000001", Attempt: "incarnation17.42", Number: 2, Service: "filing", Input: strings.Repeat("x", 200), Timeout: time.Minute}
+	outcome.Outcome = &ledger.Outcome{Call: "call-000001", Attempt: "incarnation17.42", Result: ledger.ResultRan, Head: ledger.Location{Offset: 1, Index: 1}}
+	kinds := []ledger.Record{open, turn, intent, outcome}
+	size := slope{Name: "ledger record: open, turn, intent of 200 B, outcome", Unit: "B", Sizes: []int{1, 2, 3, 4}}
+	for _, record := range kinds {
+		size.Values = append(size.Values, sizeOf(record))
+	}
+	return []slope{memory, apply, size}
+}
+
+// programSlopes measures programs in their owner's memory.
+func programSlopes() []slope {
+	sizes := []int{100, 350, 1000}
+	memory := measureAll("owner: memory of a program beside its texts", "B", sizes, func(size int) float64 {
+		records := bookRecords(size)
+		return heapOf(size, func() any {
+			machine := program.NewMachine(program.DefaultSettings("host-17", "incarnation17"))
+			for offset, record := range records {
+				machine.Step(time.Unix(0, 0), program.Read{Offset: int64(offset), Records: []ledger.Record{record}})
+			}
+			return machine
+		}, records)
+	})
+	tick := measureAll("owner: processor of a tick, for each program", "us", sizes, func(size int) float64 {
+		machine := program.NewMachine(program.DefaultSettings("host-17", "incarnation17"))
+		for offset, record := range bookRecords(size) {
+			machine.Step(time.Unix(0, 0), program.Read{Offset: int64(offset), Records: []ledger.Record{record}})
+		}
+		for id := range size {
+			name := fmt.Sprintf("dc-north-1.%d.%026d", id%ledger.SlotCount, id)
+			machine.Step(time.Unix(0, 0), program.Queried{Token: program.Token(id), Program: name, Workspace: "workspace-4711"})
+		}
+		return microsOf(200, func(run int) { machine.Step(time.Unix(int64(run), 0), program.Tick{}) }) / float64(size)
+	})
+	return []slope{memory, tick}
+}
+
+func members(count int) *host.Membership {
+	now := time.Unix(1000, 0)
+	membership := host.NewMembership(time.Unix(0, 0), host.Heartbeat{Name: "host-000", Incarnation: "i0", DataCentre: "d"})
+	for index := range count - 1 {
+		membership.Hear(now, host.Heartbeat{
+			Name: fmt.Sprintf("host-%03d", index+1), Incarnation: fmt.Sprint("i", index+1), DataCentre: "d", Address: "10.11.12.13:8081",
+		})
+	}
+	return membership
+}
+
+func hostSlopes() []slope {
+	sizes := []int{11, 41, 120}
+	wanted := measureAll("membership: processor of the choice of slots", "us", sizes, func(size int) float64 {
+		membership := members(size)
+		var owners [ledger.SlotCount]host.Owner
+		for slot := range owners {
+			owners[slot] = host.Owner{Host: fmt.Sprintf("host-%03d", slot%size), Incarnation: fmt.Sprint("i", slot%size)}
+		}
+		return microsOf(200, func(int) { membership.Wanted(time.Unix(1000, 0), owners) })
+	})
+	beat := host.Heartbeat{
+		Name: "north-1-host-17", Incarnation: "kuy4qdwslsvx3", DataCentre: "dc-north-1", Address: "10.11.12.13:8081", Version: 123456,
+		ConfigurationNext: 234567, ConfigurationAgeMS: 1500, ConfigurationCurrent: true, LedgerNext: 12345678,
+	}
+	size := measureAll("heartbeat: bytes with its frame", "B", sizes, func(int) float64 { return sizeOf(beat) + frameOverhead })
+	cost := measureAll("heartbeat: processor of encoding, decoding and hearing", "us", sizes, func(size int) float64 {
+		membership := members(size)
+		return microsOf(5000, func(run int) {
+			beat.Name = fmt.Sprintf("host-%03d", run%size)
+			data, err := codec.Marshal(beat)
+			if err != nil {
+				panic(err)
+			}
+			var heard host.Heartbeat
+			if err := codec.Unmarshal(data, &heard); err != nil {
+				panic(err)
+			}
+			membership.Hear(time.Unix(1000, 0), heard)
+		})
+	})
+	return []slope{wanted, size, cost}
+}
+
+func workspaceSlopes() []slope {
+	sizes := []int{100, 1000, 7600}
+	now := time.Unix(0, 0)
+	spender := measureAll("entry host: memory of a workspace with traffic", "B", sizes, func(size int) float64 {
+		return heapOf(size, func() any {
+			spender := workspace.NewSpender()
+			for index := range size {
+				spender.Arrive(now, uint64(index), fmt.Sprint("w", index), 10, now.Add(time.Second))
+			}
+			return spender
+		})
+	})
+	holder := measureAll("rate holder: memory of a workspace", "B", sizes, func(size int) float64 {
+		return heapOf(size, func() any {
+			holder := workspace.NewHolder("h")
+			for index := range size {
+				holder.Hold(now, now, fmt.Sprint("w", index), 10, 20)
+			}
+			return holder
+		})
+	})
+	cost := measureAll("rate holder: processor of an ask", "us", sizes, func(size int) float64 {
+		holder := workspace.NewHolder("h")
+		names := make([]string, size)
+		for index := range size {
+			names[index] = fmt.Sprint("w", index)
+			holder.Hold(now, now, names[index], 10, 20)
+		}
+		return microsOf(20_000, func(run int) {
+			holder.Ask(now.Add(time.Duration(run)*time.Millisecond), workspace.Ask{Workspace: names[run%size], Need: 1})
+		})
+	})
+	tick := measureAll("rate holder: processor of a tick, all quiet", "us", sizes, func(size int) float64 {
+		holder := workspace.NewHolder("h")
+		for index := range size {
+			holder.Hold(now, now, fmt.Sprint("w", index), 10, 20)
+		}
+		return microsOf(2000, func(run int) { holder.Tick(now.Add(time.Duration(run) * time.Millisecond)) })
+	})
+	return []slope{spender, holder, cost, tick}
+}
+
+func targetSlopes() []slope {
+	sizes := []int{10, 100, 1000}
+	memory := measureAll("queue holder: memory of a target", "B", sizes, func(size int) float64 {
+		return heapOf(size, func() any { return poolOf(size) })
+	})
+	decision := measureAll("queue holder: processor of a permit and its return", "us", sizes, func(size int) float64 {
+		pool := poolOf(size)
+		now := time.Unix(0, 0)
+		return microsOf(20_000, func(run int) {
+			id := uint64(run + 1)
+			pool.Submit(now, &target.Request{ID: id, Workspace: "w", Weight: 1, Prompt: 500, Output: 100, Program: "p"})
+			pool.Settle(now, target.Report{Request: id, Prompt: 500, Reused: 250, Output: 100})
+		})
+	})
+	return []slope{memory, decision}
+}
+
+func poolOf(targets int) *target.Pool {
+	pool := target.NewPool(target.DefaultSettings(8, func() float64 { return 0.5 }), target.NewFairOrder(), target.PrefixPlacement{})
+	addresses := make([]string, targets)
+	for index := range addresses {
+		addresses[index] = fmt.Sprintf("10.0.%d.%d:9000", index/250, index%250)
+	}
+	pool.SetTargets(time.Unix(0, 0), addresses, 8)
+	return pool
+}
+
+// textOf returns a configuration text with a number of workspaces.
+func textOf(workspaces int) []byte {
+	var text bytes.Buffer
+	text.WriteString("data_centres:\n")
+	for place := range 9 {
+		fmt.Fprintf(&text, "  - {name: dc%d, hosts: 41}\n", place)
+	}
+	text.WriteString("services:\n  - name: draft\n    kind: engine\n    repeatable: true\n    targets:\n")
+	for index := range 850 {
+		fmt.Fprintf(&text, "      - {data_centre: dc%d, address: \"10.%d.%d.1:9000\"}\n", index%9, index%9, index/9)
+	}
+	text.WriteString("workspaces:\n")
+	for index := range workspaces {
+		fmt.Fprintf(&text, "  - {name: workspace-%d, rate: %d, burst: %d, priority: %d}\n", index, 1+index%7, 4+index%9, index%3)
+	}
+	return text.Bytes()
+}
+
+func configurationSlopes() []slope {
+	sizes := []int{8, 760, 7600}
+	size := measureAll("configuration: bytes of a change in the log", "B", sizes, func(size int) float64 {
+		record := configuration.Record{ID: "x", Change: &configuration.Change{Version: 2, Base: 1, Text: textOf(size)}}
+		data, err := record.Encode()
+		if err != nil {
+			panic(err)
+		}
+		return float64(len(data))
+	})
+	cost := measureAll("configuration: processor of a change", "ms", sizes, func(size int) float64 {
+		text := textOf(size)
+		return microsOf(1, func(int) {
+			if _, err := configuration.Parse(text); err != nil {
+				panic(err)
+			}
+		}) / 1000
+	})
+	return []slope{size, cost}
+}
+
+// relaySlope measures a streamed token from one host to the next, both ends in
+// this process.
+func relaySlope() (slope, error) {
+	result := slope{Name: "relay: processor of a token, both ends of a hop", Unit: "us"}
+	server := peer.NewTransport("b", "b-1", "secret-secret-secret", clockwork.NewRealClock(), func(_ context.Context, request peer.Request, send func(any) error) error {
+		var count int
+		if err := request.Decode(&count); err != nil {
+			return err
+		}
+		for range count {
+			if err := send(tokenEvent{Text: "word "}); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err := server.Listen("127.0.0.1:0"); err != nil {
+		return result, err
+	}
+	defer server.Close()
+	caller := peer.NewTransport("a", "a-1", "secret-secret-secret", clockwork.NewRealClock(), nil)
+	defer caller.Close()
+	for _, count := range []int{500, 1000, 2000} {
+		var failed error
+		each := microsOf(10, func(int) {
+			failed = caller.Call(context.Background(), server.Address(), "stream", count, func(value peer.Value) error {
+				var event tokenEvent
+				return value.Decode(&event)
+			})
+		}) / float64(count)
+		if failed != nil {
+			return result, failed
+		}
+		result.Sizes = append(result.Sizes, count)
+		result.Values = append(result.Values, each)
+	}
+	return result, nil
+}
--- a/internal/budget/homes.go
+++ b/internal/budget/homes.go
@@ -19,20 +19,33 @@
 	Counting(program string) (address string, self bool)
 	Reserve(ctx context.Context, address string, question Question) (Answer, error)
 	Settle(address string, settlement Settlement)
+	// Begun asks the homes of other data centres whether they know a program.
+	Begun(ctx context.Context, program string) bool
 }
 
-// Question asks the home of a program for tokens.
-type Question struct {
-	ID      string        `msgpack:"i"` // of the reservation
+// Claim is what a turn asks of its program's budget.
+type Claim struct {
 	Program string        `msgpack:"p"`
 	Budget  int           `msgpack:"b"`
 	Tokens  int           `msgpack:"t"`
-	Expires time.Duration `msgpack:"e"` // an unsettled reservation counts as spent after it
+	Expires time.Duration `msgpack:"e"`           // an unsettled reservation counts as spent after it
+	Begun   bool          `msgpack:"f,omitempty"` // refuse the turn if it is the program's first
+}
+
+// ErrNotBegun reports a claim for programs under way only, by one that has not
+// begun.
+var ErrNotBegun = errors.New("program has not begun")
+
+// Question asks the home of a program for tokens.
+type Question struct {
+	ID    string `msgpack:"i"` // of the reservation
+	Claim Claim  `msgpack:"c"`
 }
 
 // Answer is the home's answer.
 type Answer struct {
-	Spent bool `msgpack:"s,omitempty"` // the budget does not hold the tokens
+	Spent    bool `msgpack:"s,omitempty"` // the budget does not hold the tokens
+	NotBegun bool `msgpack:"n,omitempty"`
 }
 
 // Settlement ends a reservation.
@@ -67,17 +80,19 @@
 	return &Counter{purses: purses, homes: homes, clock: clock, metrics: metrics, open: make(map[string]held)}
 }
 
-// Reserve takes tokens for a turn that ends within a time. Settle must be
-// called with what the turn has generated.
-func (counter *Counter) Reserve(ctx context.Context, program string, budget, tokens int, limit time.Duration) (settle func(used int), err error) {
-	address, self := counter.homes.Counting(program)
+// Reserve takes tokens for a turn. Settle must be called with what the turn has
+// generated.
+func (counter *Counter) Reserve(ctx context.Context, claim Claim) (settle func(used int), err error) {
+	address, self := counter.homes.Counting(claim.Program)
 	if !self {
 		id := counter.purses.book.holder + "/" + strconv.FormatInt(counter.next(), 36)
-		settlement := Settlement{Program: program, ID: id}
-		answer, err := counter.homes.Reserve(ctx, address, Question{ID: id, Program: program, Budget: budget, Tokens: tokens, Expires: limit})
+		settlement := Settlement{Program: claim.Program, ID: id}
+		answer, err := counter.homes.Reserve(ctx, address, Question{ID: id, Claim: claim})
 		switch {
 		case err == nil && answer.Spent:
 			return nil, ErrSpent
+		case err == nil && answer.NotBegun:
+			return nil, ErrNotBegun
 		case err == nil:
 			return func(used int) {
 				settlement.Used = used
@@ -90,26 +105,41 @@
 			return nil, ctx.Err()
 		}
 		counter.metrics.Retried("budget_home_lost")
+		claim.Begun = false // nobody else knows
 	}
-	reservation, err := counter.purses.Reserve(ctx, program, budget, tokens)
+	reservation, err := counter.reserve(ctx, claim)
 	if err != nil {
 		return nil, err
 	}
 	return reservation.Settle, nil
 }
 
+// reserve takes tokens here.
+func (counter *Counter) reserve(ctx context.Context, claim Claim) (*Reservation, error) {
+	if claim.Begun && !counter.Begun(claim.Program) && !counter.homes.Begun(ctx, claim.Program) {
+		return nil, ErrNotBegun
+	}
+	return counter.purses.Reserve(ctx, claim)
+}
+
+// Begun reports whether the program has taken a part of its budget, as far as
+// this host knows.
+func (counter *Counter) Begun(program string) bool { return counter.purses.begun(program) }
+
 // Serve answers another host.
 func (counter *Counter) Serve(ctx context.Context, question Question) (Answer, error) {
-	reservation, err := counter.purses.Reserve(ctx, question.Program, question.Budget, question.Tokens)
-	if errors.Is(err, ErrSpent) {
+	reservation, err := counter.reserve(ctx, question.Claim)
+	switch {
+	case errors.Is(err, ErrSpent):
 		return Answer{Spent: true}, nil
-	}
-	if err != nil {
+	case errors.Is(err, ErrNotBegun):
+		return Answer{NotBegun: true}, nil
+	case err != nil:
 		return Answer{}, err
 	}
 	counter.mutex.Lock()
 	_, settled := counter.open[question.ID]
-	counter.open[question.ID] = held{reservation: reservation, expires: counter.clock.Now().Add(question.Expires + expiryMargin)}
+	counter.open[question.ID] = held{reservation: reservation, expires: counter.clock.Now().Add(question.Claim.Expires + expiryMargin)}
 	counter.mutex.Unlock()
 	if settled {
 		counter.Settled(Settlement{ID: question.ID})
--- a/internal/budget/protocol_test.go
+++ b/internal/budget/protocol_test.go
@@ -158,7 +158,7 @@
 			}
 			most := rapid.IntRange(50, 400).Draw(t, "tokens")
 			ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
-			reservation, err := trial.hosts[number].Reserve(ctx, "p", budget, most)
+			reservation, err := trial.hosts[number].Reserve(ctx, Claim{Program: "p", Budget: budget, Tokens: most})
 			cancel()
 			if err != nil {
 				continue
@@ -187,10 +187,10 @@
 		calls++
 		return calls == 2, false // the entry is written; reading it back fails
 	}
-	_, err := trial.hosts[0].Reserve(context.Background(), "p", 500, 280)
+	_, err := trial.hosts[0].Reserve(context.Background(), Claim{Program: "p", Budget: 500, Tokens: 280})
 	is.True(err != nil && !errors.Is(err, ErrSpent))
 	trial.store.refuse = func() (bool, bool) { return false, false }
-	_, err = trial.hosts[0].Reserve(context.Background(), "p", 500, 280)
+	_, err = trial.hosts[0].Reserve(context.Background(), Claim{Program: "p", Budget: 500, Tokens: 280})
 	is.NoErr(err)
 }
 
@@ -202,12 +202,12 @@
 	trial.boot(1)
 	defer trial.cancels[0]()
 	defer trial.cancels[1]()
-	first, err := trial.hosts[0].Reserve(context.Background(), "p", 500, 100)
+	first, err := trial.hosts[0].Reserve(context.Background(), Claim{Program: "p", Budget: 500, Tokens: 100})
 	is.NoErr(err)
 	first.Settle(50)
 	served := 50
 	for served <= 500 {
-		reservation, err := trial.hosts[1].Reserve(context.Background(), "p", 500, 100)
+		reservation, err := trial.hosts[1].Reserve(context.Background(), Claim{Program: "p", Budget: 500, Tokens: 100})
 		if errors.Is(err, ErrSpent) {
 			break
 		}
@@ -225,6 +225,7 @@
 func (*away) Reserve(context.Context, string, Question) (Answer, error) {
 	return Answer{}, errors.New("no answer")
 }
+func (*away) Begun(context.Context, string) bool { return false }
 func (away *away) Settle(_ string, settlement Settlement) {
 	away.settled = append(away.settled, settlement)
 }
@@ -238,7 +239,7 @@
 	defer trial.cancels[0]()
 	homes := &away{}
 	counter := NewCounter(trial.hosts[0], homes, clockwork.NewRealClock(), metric.Discard())
-	settle, err := counter.Reserve(context.Background(), "p", 500, 100, time.Second)
+	settle, err := counter.Reserve(context.Background(), Claim{Program: "p", Budget: 500, Tokens: 100, Expires: time.Second})
 	is.NoErr(err)
 	settle(10)
 	is.Equal(len(homes.settled), 1)
@@ -253,7 +254,7 @@
 	defer trial.cancels[0]()
 	clock := clockwork.NewFakeClock()
 	counter := NewCounter(trial.hosts[0], &away{}, clock, metric.Discard())
-	_, err := counter.Serve(context.Background(), Question{ID: "1", Program: "p", Budget: 500, Tokens: 100, Expires: time.Second})
+	_, err := counter.Serve(context.Background(), Question{ID: "1", Claim: Claim{Program: "p", Budget: 500, Tokens: 100, Expires: time.Second}})
 	is.NoErr(err)
 	clock.Advance(time.Second + expiryMargin + time.Millisecond)
 	counter.Tidy()
@@ -262,7 +263,43 @@
 	is.Equal(purse.reserved, 0)
 	// A settlement that comes before its reservation ends it at once.
 	counter.Settled(Settlement{ID: "2"})
-	_, err = counter.Serve(context.Background(), Question{ID: "2", Program: "p", Budget: 500, Tokens: 100, Expires: time.Second})
+	_, err = counter.Serve(context.Background(), Question{ID: "2", Claim: Claim{Program: "p", Budget: 500, Tokens: 100, Expires: time.Second}})
 	is.NoErr(err)
 	is.Equal(purse.reserved, 0)
 }
+
+// relayed is a home on another host.
+type relayed struct{ home *Counter }
+
+func (*relayed) Counting(string) (string, bool) { return "home", false }
+func (relayed *relayed) Reserve(ctx context.Context, _ string, question Question) (Answer, error) {
+	return relayed.home.Serve(ctx, question)
+}
+func (*relayed) Begun(context.Context, string) bool             { return false }
+func (relayed *relayed) Settle(_ string, settlement Settlement) { relayed.home.Settled(settlement) }
+
+// TestNotBegun checks that claims for programs under way only are refused to
+// others, by the home of the program, and take nothing of the budget.
+func TestNotBegun(t *testing.T) {
+	is := is.New(t)
+	trial := &trial{store: newMemory(), hosts: make([]*Purses, 2), cancels: make([]context.CancelFunc, 2)}
+	for number := range 2 {
+		trial.boot(number)
+		defer trial.cancels[number]()
+	}
+	clock := clockwork.NewRealClock()
+	home := NewCounter(trial.hosts[0], &away{}, clock, metric.Discard())
+	other := NewCounter(trial.hosts[1], &relayed{home}, clock, metric.Discard())
+	claim := Claim{Program: "p", Budget: 500, Tokens: 100, Expires: time.Second, Begun: true}
+	_, err := other.Reserve(context.Background(), claim)
+	is.True(errors.Is(err, ErrNotBegun))
+	taken, _ := trial.hosts[0].book.known("p")
+	is.Equal(taken, 0)
+	claim.Begun = false
+	settle, err := other.Reserve(context.Background(), claim)
+	is.NoErr(err)
+	settle(50)
+	claim.Begun = true
+	_, err = other.Reserve(context.Background(), claim)
+	is.NoErr(err)
+}
--- a/internal/budget/purses.go
+++ b/internal/budget/purses.go
@@ -114,8 +114,9 @@
 
 // Reserve takes tokens for one turn. It returns ErrSpent if the budget does not
 // hold them, and another error if that cannot be told now.
-func (purses *Purses) Reserve(ctx context.Context, program string, budget, tokens int) (*Reservation, error) {
-	purse := purses.purse(program, budget)
+func (purses *Purses) Reserve(ctx context.Context, claim Claim) (*Reservation, error) {
+	program, tokens := claim.Program, claim.Tokens
+	purse := purses.purse(program, claim.Budget)
 	if purse.reserve(tokens, purses.clock.Now()) {
 		return &Reservation{purse: purse, tokens: tokens}, nil
 	}
@@ -135,6 +136,16 @@
 	return nil, ErrSpent
 }
 
+// begun reports whether any host has taken a part of the program's budget, as
+// far as this one knows.
+func (purses *Purses) begun(program string) bool {
+	purses.mutex.Lock()
+	_, here := purses.purses[program]
+	purses.mutex.Unlock()
+	taken, holders := purses.book.known(program)
+	return here || taken > 0 || len(holders) > 0
+}
+
 // fill takes more of the budget, and calls back what other hosts hold if that
 // is not enough.
 func (purses *Purses) fill(ctx context.Context, program string, purse *purse, tokens int) error {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -9,7 +9,7 @@
 // TestPolicies replays each load: the policy of hosts is worth more than the
 // simplest rivals, and no window takes more than is tolerated.
 func TestPolicies(t *testing.T) {
-	simple := map[string]bool{"each request by itself": true, "compare all targets": true, "any target": true}
+	simple := map[string]bool{"each request by itself": true, "compare all targets": true, "any target": true, "begin every program": true}
 	for _, pattern := range Patterns() {
 		t.Run(pattern.Name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -6,14 +6,15 @@
 	"slices"
 	"time"
 
+	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/quota"
 )
 
 // Policy is a way to decide.
 type Policy struct {
-	Name   string
-	Rates  func(limit func(now time.Time) quota.Limit) Rates
-	Sample int // targets that are compared for a request
+	Name  string
+	Rates func(limit func(now time.Time) quota.Limit) Rates
+	Board placement.Policy
 }
 
 // Pattern is a load that is replayed.
@@ -63,7 +64,7 @@
 	}
 	inner := policy.Rates(limit)
 	var taken []time.Time
-	world = newWorld(seed, pattern.Size, policy.Sample, func(question quota.Question, now time.Time) quota.Answer {
+	world = newWorld(seed, pattern.Size, policy.Board, func(question quota.Question, now time.Time) quota.Answer {
 		answer := inner(question, now)
 		if answer.Admitted {
 			taken = append(taken, now.Add(answer.Delay))
--- a/internal/experiment/patterns.go
+++ b/internal/experiment/patterns.go
@@ -68,5 +68,17 @@
 			Name: "meetings, burst over 91 hosts", Size: Size{Hosts: 91, Engines: 36, Tools: 55}, Kinds: meetings(91), Workspaces: []string{"temple"}, Length: 10 * time.Second,
 			Load: burst(4*time.Second, 3*time.Second, 1.7), Policies: ChoicePolicies(),
 		},
+		{
+			Name: "meetings, 2.5 times the usual load", Size: small, Kinds: meetings(24), Workspaces: []string{"temple"}, Length: 24 * time.Second,
+			Load: burst(8*time.Second, 6*time.Second, 2.5), Policies: CrowdPolicies(),
+		},
+		{
+			Name: "meetings, four times the usual load", Size: small, Kinds: meetings(24), Workspaces: []string{"temple"}, Length: 24 * time.Second,
+			Load: burst(8*time.Second, 6*time.Second, 4), Policies: CrowdPolicies(),
+		},
+		{
+			Name: "orders, four times the usual load", Size: small, Kinds: orders(17), Workspaces: []string{"schools"}, Length: 24 * time.Second,
+			Load: burst(8*time.Second, 6*time.Second, 4), Policies: CrowdPolicies(),
+		},
 	}
 }
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -17,22 +17,42 @@
 	cautious.Promise = 0.7
 	generous.Promise = 1.7
 	patient.Patience = 1200 * time.Millisecond
+	board := placement.Usual(nil)
 	return []Policy{
-		{OursName, accountRates(quota.Usual), placement.SampleSize},
-		{"promising less", accountRates(cautious), placement.SampleSize},
-		{"promising more", accountRates(generous), placement.SampleSize},
-		{"waiting longer", accountRates(patient), placement.SampleSize},
-		{"each request by itself", bucketRates, placement.SampleSize},
+		{OursName, accountRates(quota.Usual), board},
+		{"promising less", accountRates(cautious), board},
+		{"promising more", accountRates(generous), board},
+		{"waiting longer", accountRates(patient), board},
+		{"each request by itself", bucketRates, board},
 	}
 }
 
 // ChoicePolicies are ways to choose among targets: ours, and rivals.
 func ChoicePolicies() []Policy {
+	rates := accountRates(quota.Usual)
+	compare := func(count int) placement.Policy {
+		return placement.Policy{Sample: count, Crowded: placement.CrowdedPart}
+	}
+	return []Policy{
+		{OursName, rates, placement.Usual(nil)},
+		{"compare four targets", rates, compare(4)},
+		{"compare all targets", rates, compare(math.MaxInt)},
+		{"any target", rates, compare(1)},
+	}
+}
+
+// CrowdPolicies are ways to turn programs away when the targets are full: ours,
+// and rivals.
+func CrowdPolicies() []Policy {
+	rates := accountRates(quota.Usual)
+	from := func(part float64) placement.Policy {
+		return placement.Policy{Sample: placement.SampleSize, Crowded: part}
+	}
 	return []Policy{
-		{OursName, accountRates(quota.Usual), placement.SampleSize},
-		{"compare four targets", accountRates(quota.Usual), 4},
-		{"compare all targets", accountRates(quota.Usual), math.MaxInt},
-		{"any target", accountRates(quota.Usual), 1},
+		{OursName, rates, placement.Usual(nil)},
+		{"begin every program", rates, from(math.Inf(1))},
+		{"begin up to the slots", rates, from(1)},
+		{"begin up to twice the slots", rates, from(2)},
 	}
 }
 
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -18,7 +18,8 @@
 	exchangeTime  = 250 * time.Millisecond // between the hosts' reports of their load
 	hopTime       = time.Millisecond
 	callerTime    = 2 * time.Millisecond
-	resends       = 2 // of a turn that has failed with all its attempts
+	crowdedPause  = 200 * time.Millisecond // before a refused program may return
+	resends       = 2                      // of a turn that has failed with all its attempts
 )
 
 // Rates admits requests of a workspace. A nil answer field means at once.
@@ -59,13 +60,14 @@
 	Hosts, Engines, Tools int
 }
 
-func newWorld(seed uint64, size Size, sample int, rates Rates) *world {
+func newWorld(seed uint64, size Size, policy placement.Policy, rates Rates) *world {
 	world := &world{
 		timeline: newTimeline(), random: rand.New(rand.NewPCG(seed, 7)), targets: make(map[string]*target), rates: rates, reasons: make(map[string]int),
 	}
+	policy.Draw = world.random.IntN
 	for index := range size.Hosts {
 		centre := dataCentre(index)
-		world.hosts = append(world.hosts, &host{board: placement.NewBoard(centre, sample, world.random.IntN), dataCentre: centre})
+		world.hosts = append(world.hosts, &host{board: placement.NewBoard(centre, policy), dataCentre: centre})
 	}
 	for index := range size.Engines {
 		world.add(placement.Target{ID: fmt.Sprintf("engine-%02d", index), Service: engineService, DataCentre: dataCentre(index), Slots: 8})
@@ -230,6 +232,10 @@
 		refused("rate_exceeded", answer.Retry)
 		return
 	}
+	if call.turn && program.sent == 0 && world.hostIn(centre).board.Crowded(engineService, program.kind.Urgent) {
+		refused("targets_crowded", crowdedPause+time.Duration(world.random.Int64N(int64(crowdedPause))))
+		return
+	}
 	program.sent++
 	program.waited += answer.Delay
 	world.after(callerTime+answer.Delay, func() {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/outbound"
@@ -39,9 +40,9 @@
 
 // Budgets admits turns of programs.
 type Budgets interface {
-	// Reserve takes tokens for a turn that ends within a time. Settle must be
-	// called with what the turn has generated.
-	Reserve(ctx context.Context, program string, budget, tokens int, limit time.Duration) (settle func(used int), err error)
+	// Reserve takes tokens for a turn. Settle must be called with what the turn
+	// has generated.
+	Reserve(ctx context.Context, claim budget.Claim) (settle func(used int), err error)
 }
 
 // Histories keeps turns and assembles what a turn continues.
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -15,6 +15,7 @@
 	startPause      = 500 * time.Millisecond // a starting host reads its configuration
 	stalePause      = 300 * time.Millisecond // other hosts may have a later version
 	busyPause       = 150 * time.Millisecond // a slot of an engine is free again after about a turn
+	crowdedPause    = 200 * time.Millisecond // at least, and up to twice that: some programs have ended by then
 	quarantinePause = 30 * time.Second
 	storePause      = time.Second // outages of the store and of data centres last for seconds
 )
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -276,10 +277,15 @@
 	if visit.request.Program == "" || visit.request.Budget == 0 || visit.route.Retention == 0 {
 		return nil
 	}
-	settle, err := front.budgets.Reserve(ctx, visit.request.Program, visit.request.Budget, visit.request.MaxTokens, visit.timeLeft())
+	settle, err := front.budgets.Reserve(ctx, budget.Claim{
+		Program: visit.request.Program, Budget: visit.request.Budget, Tokens: visit.request.MaxTokens, Expires: visit.timeLeft(),
+		Begun: visit.request.PreviousTurn == "" && front.board.Crowded(visit.service, visit.urgent()),
+	})
 	switch {
 	case errors.Is(err, budget.ErrSpent):
 		return refuse(http.StatusPaymentRequired, "budget_spent")
+	case errors.Is(err, budget.ErrNotBegun):
+		return refuse(http.StatusServiceUnavailable, "targets_crowded").after(crowdedPause + rand.N(crowdedPause))
 	case err != nil:
 		return refuse(http.StatusServiceUnavailable, "budget_unavailable").after(storePause).because(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,7 @@
 func New(settings platform.Settings, clock clockwork.Clock, logger log.Interface) *Gateway {
 	gateway := &Gateway{
 		settings: settings, clock: clock, logger: logger, metrics: metric.New(settings.Host, settings.DataCentre),
-		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre, placement.SampleSize, mathrand.IntN),
+		direct: platform.NewStore(settings.Store.Address), board: placement.NewBoard(settings.DataCentre, placement.Usual(mathrand.IntN)),
 		pool: outbound.NewPool(clock), suspects: placement.NewSuspects(),
 	}
 	gateway.ctx, gateway.cancel = context.WithCancel(context.Background())
@@ -120,7 +120,7 @@
 	})
 	gateway.transport = peer.NewTransport(settings.Host, gateway.own.Incarnation, settings.PeerSecret, clock, gateway.mesh.Handler(mesh.Services{
 		Store: gateway.direct, Chain: gateway.histories.Chain, Push: gateway.histories.Gather,
-		Release: gateway.purses.Release, Reserve: gateway.counter.Serve, Settle: gateway.counter.Settled, Quota: gateway.limiter.Serve,
+		Release: gateway.purses.Release, Reserve: gateway.counter.Serve, Settle: gateway.counter.Settled, Quota: gateway.limiter.Serve, Begun: gateway.counter.Begun,
 	}))
 	gateway.mesh.SetTransport(gateway.transport)
 	gateway.configuration = newConfiguration(settings, gateway.store, clock, logger)
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -35,7 +35,7 @@
 		is := is.New(t)
 		clock := clockwork.NewFakeClock()
 		since, well := clock.Now().Add(-test.well), test.well >= 0
-		board := placement.NewBoard("dc", placement.SampleSize, rand.IntN)
+		board := placement.NewBoard("dc", placement.Usual(rand.IntN))
 		targets := newTargets(clock, &log.Logger{Handler: discard.Default}, board, func() (time.Time, bool) { return since, well })
 		targets.apply([]store.Record{{Key: "t-1", Value: entry}}, true)
 		targets.apply([]store.Record{{Key: "t-1"}}, false)
@@ -51,7 +51,7 @@
 	entry := []byte(`{"service":"tools","address":"127.0.0.1:1","slots":1,"state":"ready"}`)
 	clock := clockwork.NewFakeClock()
 	back := clock.Now()
-	board := placement.NewBoard("dc", placement.SampleSize, rand.IntN)
+	board := placement.NewBoard("dc", placement.Usual(rand.IntN))
 	targets := newTargets(clock, &log.Logger{Handler: discard.Default}, board, func() (time.Time, bool) { return back, true })
 	targets.apply([]store.Record{{Key: "t-1", Value: entry}}, true)
 	targets.apply(nil, true)
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -28,6 +28,7 @@
 	methodSettle  = "settle"
 	methodPush    = "push"
 	methodQuota   = "quota"
+	methodBegun   = "begun"
 )
 
 // Services are what this host does for others.
@@ -39,6 +40,7 @@
 	Reserve func(ctx context.Context, question budget.Question) (budget.Answer, error)
 	Settle  func(settlement budget.Settlement)
 	Quota   func(question quota.Question) quota.Answer
+	Begun   func(program string) bool
 }
 
 type findQuestion struct {
@@ -58,6 +60,14 @@
 	Returned int `msgpack:"r,omitempty"`
 }
 
+type begunQuestion struct {
+	Program string `msgpack:"p"`
+}
+
+type begunAnswer struct {
+	Begun bool `msgpack:"b,omitempty"`
+}
+
 type done struct{}
 
 // storeAnswer carries the store's answer over the mesh, errors of its own
@@ -143,6 +153,9 @@
 		methodQuota: answering(func(_ context.Context, question quota.Question) (quota.Answer, error) {
 			return services.Quota(question), nil
 		}),
+		methodBegun: answering(func(_ context.Context, question begunQuestion) (begunAnswer, error) {
+			return begunAnswer{Begun: services.Begun(question.Program)}, nil
+		}),
 	}
 	return func(ctx context.Context, request peer.Request, send func(any) error) error {
 		handler, known := handlers[request.Method]
@@ -272,6 +285,43 @@
 	}()
 }
 
+// Begun implements budget.Homes.
+func (mesh *Mesh) Begun(ctx context.Context, program string) bool {
+	ctx, cancel := context.WithTimeout(ctx, nearTimeout)
+	defer cancel()
+	centres := mesh.otherDataCentres()
+	answers := make(chan bool, len(centres))
+	for _, centre := range centres {
+		home, _ := mesh.homeOf(program, centre)
+		go func() {
+			var answer begunAnswer
+			if err := mesh.transport.Ask(ctx, home.Address, methodBegun, begunQuestion{program}, &answer); err != nil {
+				mesh.logger.WithError(err).WithField("peer", home.Host).Debug("host not asked for a program")
+			}
+			answers <- answer.Begun
+		}()
+	}
+	for range centres {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// otherDataCentres returns those of which a host is heard.
+func (mesh *Mesh) otherDataCentres() []string {
+	known := map[string]bool{mesh.own.DataCentre: true}
+	var centres []string
+	for _, status := range mesh.Live() {
+		if centre := status.Member.DataCentre; !known[centre] {
+			known[centre] = true
+			centres = append(centres, centre)
+		}
+	}
+	return centres
+}
+
 // AskQuota implements quota.Keepers.
 func (mesh *Mesh) AskQuota(ctx context.Context, address string, question quota.Question) (quota.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
@@ -311,7 +361,11 @@
 // homeOf returns the live host with the highest weight for a program, in a
 // data centre or in all.
 func (mesh *Mesh) homeOf(program, dataCentre string) (Member, bool) {
-	best, highest := mesh.own, weigh(mesh.own.Host, program)
+	var best Member
+	highest := uint64(0)
+	if dataCentre == "" || dataCentre == mesh.own.DataCentre {
+		best, highest = mesh.own, weigh(mesh.own.Host, program)
+	}
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	now := mesh.clock.Now()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -84,6 +84,10 @@
 		}
 		near, _ := meshes["b2"].homeOf(program, "b")
 		is.Equal(near.DataCentre, "b")
+		far, self := meshes["b2"].homeOf(program, "a")
+		same, _ := meshes["a1"].homeOf(program, "a")
+		is.True(!self)
+		is.Equal(far.Host, same.Host)
 	}
 	for _, name := range names {
 		is.True(counts[name] > 50) // name
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -37,6 +37,7 @@
 	groups  map[string][]*seat // by service
 	homes   map[string]home    // last target by affinity
 	sample  int
+	crowded float64
 	draw    func(int) int
 	scratch []*seat
 	silent  map[string]bool // data centres that are not heard
@@ -64,10 +65,21 @@
 	avoidCeiling  = 8 * time.Second
 )
 
-// NewBoard returns a board for a host in a data centre that compares a number
-// of targets for a request. Draw returns a random number below another.
-func NewBoard(dataCentre string, sample int, draw func(int) int) *Board {
-	return &Board{dataCentre: dataCentre, sample: sample, draw: draw, targets: make(map[string]*seat), groups: make(map[string][]*seat), homes: make(map[string]home)}
+// Policy is how a board decides.
+type Policy struct {
+	Sample  int           // targets that are compared for a request
+	Crowded float64       // requests under way, as a part of the slots, from which no program is begun
+	Draw    func(int) int // returns a random number below another
+}
+
+// Usual is the policy of hosts.
+func Usual(draw func(int) int) Policy {
+	return Policy{Sample: SampleSize, Crowded: CrowdedPart, Draw: draw}
+}
+
+// NewBoard returns a board for a host in a data centre.
+func NewBoard(dataCentre string, policy Policy) *Board {
+	return &Board{dataCentre: dataCentre, sample: policy.Sample, crowded: policy.Crowded, draw: policy.Draw, targets: make(map[string]*seat), groups: make(map[string][]*seat), homes: make(map[string]home)}
 }
 
 // Put adds a target or replaces what is known of it. It reports a change of
@@ -181,6 +193,33 @@
 	return best.target, true
 }
 
+// Requests under way at the targets of a service, as a part of their slots, from
+// which no program is begun. Of those that the experiment tool compares, these
+// are worth most.
+const (
+	CrowdedPart   = 1.5
+	CrowdedUrgent = 1.95
+)
+
+// Crowded reports whether the targets of a service have no room for a new
+// program: those under way would end too late.
+func (board *Board) Crowded(service string, urgent bool) bool {
+	limit := board.crowded
+	if urgent {
+		limit *= CrowdedUrgent / CrowdedPart
+	}
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	load, slots := 0, 0
+	for _, seat := range board.groups[service] {
+		if !seat.target.Draining && !board.missing[seat.target.ID] {
+			load += seat.own + seat.others
+			slots += max(1, seat.target.Slots)
+		}
+	}
+	return slots > 0 && float64(load) >= limit*float64(slots)
+}
+
 // candidates returns the targets that may run a request, the first of them
 // drawn at random. Those that are in doubt come last.
 func (board *Board) candidates(request Request, now time.Time) []*seat {
--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -10,7 +10,7 @@
 )
 
 func boardOf(targets ...Target) *Board {
-	board := NewBoard("a", SampleSize, rand.IntN)
+	board := NewBoard("a", Usual(rand.IntN))
 	for _, target := range targets {
 		board.Put(target)
 	}
@@ -74,6 +74,28 @@
 	is.True(!found)
 }
 
+// TestCrowded checks from which load on no program is begun, the less urgent
+// first, and that leaving targets do not count as room.
+func TestCrowded(t *testing.T) {
+	is := is.New(t)
+	one, two := Target{ID: "one", Service: "s", DataCentre: "a", Slots: 10}, Target{ID: "two", Service: "s", DataCentre: "b", Slots: 10}
+	board := boardOf(one, two)
+	for _, test := range []struct {
+		load            int // at each target
+		crowded, urgent bool
+	}{{10, false, false}, {14, false, false}, {15, true, false}, {19, true, false}, {20, true, true}} {
+		board.SetOthers(map[string]int{"one": test.load, "two": test.load})
+		is.Equal(board.Crowded("s", false), test.crowded) // test.load
+		is.Equal(board.Crowded("s", true), test.urgent)   // test.load
+	}
+	board.SetOthers(map[string]int{"one": 15})
+	is.True(!board.Crowded("s", false))
+	two.Draining = true
+	board.Put(two)
+	is.True(board.Crowded("s", false))
+	is.True(!board.Crowded("unknown", false))
+}
+
 // TestFailedTargetReturns checks that a failed target is tried again after a
 // pause that doubles with each failure.
 func TestFailedTargetReturns(t *testing.T) {
@@ -93,7 +115,7 @@
 
 // BenchmarkChoose decides among 100 targets with 1,000 affinities.
 func BenchmarkChoose(b *testing.B) {
-	board := NewBoard("a", SampleSize, rand.IntN)
+	board := NewBoard("a", Usual(rand.IntN))
 	for number := range 100 {
 		board.Put(Target{ID: fmt.Sprintf("t-%d", number), Service: "s", DataCentre: []string{"a", "b"}[number%2], Slots: 8})
 	}
