--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,7 +36,8 @@
 const (
 	hostsWait      = 10 * time.Second
 	historyShare   = 0.2                     // of the host's memory that turns may take
-	targetInterval = 300 * time.Millisecond  // between reads of the targets' entries; well inside the time to stop using a leaving one
+	targetReads    = 6                       // of the targets' entries within the time to stop using a leaving one
+	targetInterval = 300 * time.Millisecond  // between them at the least
 	balancerLag    = 2500 * time.Millisecond // two missed questions, a second apart, take a host out of rotation
 	stopMargin     = time.Second             // kept back from the grace period for the end of the process
 )
@@ -183,7 +184,7 @@
 	ctx := gateway.ctx
 	go gateway.configuration.follower.Run(ctx)
 	followers := []*store.Follower{
-		{Topic: platform.TargetTopic, Pause: targetInterval, Apply: gateway.targets.apply},
+		{Topic: platform.TargetTopic, Pause: max(targetInterval, gateway.settings.Bounds.Drain/targetReads), Apply: gateway.targets.apply},
 		{Topic: mesh.Topic, Wait: hostsWait, Apply: gateway.mesh.Apply},
 	}
 	for _, follower := range followers {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -31,17 +31,15 @@
 // Board keeps the targets with their load.
 type Board struct {
 	dataCentre string
+	policy     Policy
 
 	mutex   sync.Mutex
 	targets map[string]*seat
 	groups  map[string][]*seat // by service
 	homes   map[string]home    // last target by affinity
-	sample  int
-	crowded float64
-	draw    func(int) int
-	scratch []*seat
-	silent  map[string]bool // data centres that are not heard
-	missing map[string]bool // targets whose entries are gone, but may return
+	scratch []*seat            // reused by candidates
+	silent  map[string]bool    // data centres that are not heard
+	missing map[string]bool    // targets whose entries are gone, but may return
 }
 
 type seat struct {
@@ -50,7 +48,6 @@
 	others     int // requests of other hosts under way, as last told
 	failures   int // in a row
 	avoidUntil time.Time
-	pace       float64 // moving average of time against the service's, 1 is average
 }
 
 type home struct {
@@ -79,7 +76,9 @@
 
 // NewBoard returns a board for a host in a data centre.
 func NewBoard(dataCentre string, policy Policy) *Board {
-	return &Board{dataCentre: dataCentre, sample: policy.Sample, crowded: policy.Crowded, draw: policy.Draw, targets: make(map[string]*seat), groups: make(map[string][]*seat), homes: make(map[string]home)}
+	return &Board{
+		dataCentre: dataCentre, policy: policy, targets: make(map[string]*seat), groups: make(map[string][]*seat), homes: make(map[string]home),
+	}
 }
 
 // Put adds a target or replaces what is known of it. It reports a change of
@@ -96,7 +95,7 @@
 		}
 		return changed
 	}
-	board.targets[target.ID] = &seat{target: target, pace: 1}
+	board.targets[target.ID] = &seat{target: target}
 	board.regroup()
 	return true
 }
@@ -141,133 +140,6 @@
 	return targets
 }
 
-// Weights of the cost of a target. A full target costs a whole waiting turn.
-const (
-	awayCost   = 0.15 // another data centre: about half a millisecond each way against turns of some hundred
-	homeGain   = 0.6  // a kept prompt spares its prefill
-	queueCost  = 4.0  // each request beyond the slots waits for another to end
-	avoidCost  = 50.0
-	coldFactor = 0.5
-)
-
-// SampleSize is how many targets are compared for a request. Hosts know each
-// other's load a quarter of a second late: if all compared all targets, all
-// would send to the same one meanwhile.
-const SampleSize = 2
-
-// Choose returns the target with the lowest cost of a few drawn at random, or
-// the one of the request's affinity, and counts the request as under way there.
-// The caller must call Done with the id.
-func (board *Board) Choose(request Request, now time.Time) (Target, bool) {
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
-	preferred := board.homes[request.Affinity].id
-	if request.Affinity == "" {
-		preferred = ""
-	}
-	candidates := board.candidates(request, now)
-	var best *seat
-	lowest := 0.0
-	for index, seat := range candidates {
-		if index >= board.sample && seat.target.ID != preferred {
-			continue
-		}
-		cost := seat.cost(board.dataCentre, now)
-		if board.doubtful(seat, now) {
-			cost += avoidCost
-		}
-		if preferred != "" && seat.target.ID == preferred {
-			cost -= homeGain
-		}
-		if best == nil || cost < lowest {
-			best, lowest = seat, cost
-		}
-	}
-	if best == nil {
-		return Target{}, false
-	}
-	best.own++
-	if request.Affinity != "" {
-		board.settle(request.Affinity, best.target.ID, now)
-	}
-	return best.target, true
-}
-
-// Requests under way at the targets of a service, as a part of their slots, from
-// which no program is begun. Of those that the experiment tool compares, these
-// are worth most.
-const (
-	CrowdedPart   = 1.5
-	CrowdedUrgent = 1.95
-)
-
-// Crowded reports whether the targets of a service have no room for a new
-// program: those under way would end too late.
-func (board *Board) Crowded(service string, urgent bool) bool {
-	limit := board.crowded
-	if urgent {
-		limit *= CrowdedUrgent / CrowdedPart
-	}
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
-	load, slots := 0, 0
-	for _, seat := range board.groups[service] {
-		if !seat.target.Draining && !board.missing[seat.target.ID] {
-			load += seat.own + seat.others
-			slots += max(1, seat.target.Slots)
-		}
-	}
-	return slots > 0 && float64(load) >= limit*float64(slots)
-}
-
-// candidates returns the targets that may run a request, the first of them
-// drawn at random. Those that are in doubt come last.
-func (board *Board) candidates(request Request, now time.Time) []*seat {
-	board.scratch = board.scratch[:0]
-	sound := 0
-	for _, seat := range board.groups[request.Service] {
-		if seat.target.Draining || contains(request.Tried, seat.target.ID) {
-			continue
-		}
-		board.scratch = append(board.scratch, seat)
-		if !board.doubtful(seat, now) {
-			last := len(board.scratch) - 1
-			board.scratch[sound], board.scratch[last] = board.scratch[last], board.scratch[sound]
-			sound++
-		}
-	}
-	drawn := board.scratch[:sound]
-	if sound == 0 {
-		drawn = board.scratch
-	}
-	for index := range min(board.sample, len(drawn)) {
-		other := index + board.draw(len(drawn)-index)
-		drawn[index], drawn[other] = drawn[other], drawn[index]
-	}
-	return drawn
-}
-
-// doubtful reports whether a target is used only if no other is left.
-func (board *Board) doubtful(seat *seat, now time.Time) bool {
-	return now.Before(seat.avoidUntil) || board.silent[seat.target.DataCentre] || board.missing[seat.target.ID]
-}
-
-func (seat *seat) cost(dataCentre string, now time.Time) float64 {
-	load := float64(seat.own + seat.others)
-	slots := float64(max(1, seat.target.Slots))
-	cost := seat.pace * (load + 1) / slots
-	if load >= slots {
-		cost += queueCost * (load - slots + 1) / slots
-	}
-	if seat.target.DataCentre != dataCentre {
-		cost += awayCost
-	}
-	if seat.target.Cold > 0 {
-		cost *= 1 + coldFactor
-	}
-	return cost
-}
-
 func (board *Board) settle(affinity, id string, now time.Time) {
 	if len(board.homes) >= homeCapacity {
 		for key, home := range board.homes {
