--- a/internal/budget/homes.go
+++ b/internal/budget/homes.go
@@ -25,11 +25,11 @@
 
 // Claim is what a turn asks of its program's budget.
 type Claim struct {
-	Program string        `msgpack:"p"`
-	Budget  int           `msgpack:"b"`
-	Tokens  int           `msgpack:"t"`
-	Expires time.Duration `msgpack:"e"`           // an unsettled reservation counts as spent after it
-	Begun   bool          `msgpack:"f,omitempty"` // refuse the turn if it is the program's first
+	Program  string        `msgpack:"p"`
+	Budget   int           `msgpack:"b"`
+	Tokens   int           `msgpack:"t"`
+	Expires  time.Duration `msgpack:"e"`           // an unsettled reservation counts as spent after it
+	UnderWay bool          `msgpack:"f,omitempty"` // take the tokens only if the program has begun
 }
 
 // ErrNotBegun reports a claim for programs under way only, by one that has not
@@ -105,7 +105,7 @@
 			return nil, ctx.Err()
 		}
 		counter.metrics.Retried("budget_home_lost")
-		claim.Begun = false // nobody else knows
+		claim.UnderWay = false // nobody else knows
 	}
 	reservation, err := counter.reserve(ctx, claim)
 	if err != nil {
@@ -116,7 +116,7 @@
 
 // reserve takes tokens here.
 func (counter *Counter) reserve(ctx context.Context, claim Claim) (*Reservation, error) {
-	if claim.Begun && !counter.Begun(claim.Program) && !counter.homes.Begun(ctx, claim.Program) {
+	if claim.UnderWay && !counter.Begun(claim.Program) && !counter.homes.Begun(ctx, claim.Program) {
 		return nil, ErrNotBegun
 	}
 	return counter.purses.Reserve(ctx, claim)
--- a/internal/budget/protocol_test.go
+++ b/internal/budget/protocol_test.go
@@ -290,16 +290,16 @@
 	clock := clockwork.NewRealClock()
 	home := NewCounter(trial.hosts[0], &away{}, clock, metric.Discard())
 	other := NewCounter(trial.hosts[1], &relayed{home}, clock, metric.Discard())
-	claim := Claim{Program: "p", Budget: 500, Tokens: 100, Expires: time.Second, Begun: true}
+	claim := Claim{Program: "p", Budget: 500, Tokens: 100, Expires: time.Second, UnderWay: true}
 	_, err := other.Reserve(context.Background(), claim)
 	is.True(errors.Is(err, ErrNotBegun))
 	taken, _ := trial.hosts[0].book.known("p")
 	is.Equal(taken, 0)
-	claim.Begun = false
+	claim.UnderWay = false
 	settle, err := other.Reserve(context.Background(), claim)
 	is.NoErr(err)
 	settle(50)
-	claim.Begun = true
+	claim.UnderWay = true
 	_, err = other.Reserve(context.Background(), claim)
 	is.NoErr(err)
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -279,7 +279,7 @@
 	}
 	settle, err := front.budgets.Reserve(ctx, budget.Claim{
 		Program: visit.request.Program, Budget: visit.request.Budget, Tokens: visit.request.MaxTokens, Expires: visit.timeLeft(),
-		Begun: visit.request.PreviousTurn == "" && front.board.Crowded(visit.service, visit.urgent()),
+		UnderWay: visit.request.PreviousTurn == "" && front.board.Crowded(visit.service, visit.urgent()),
 	})
 	switch {
 	case errors.Is(err, budget.ErrSpent):
