--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -78,9 +78,7 @@
 	begun    time.Time
 	finished time.Time
 	failed   bool
-	reason   string
 	sent     int
-	waited   time.Duration
 }
 
 func exponential(random *rand.Rand, mean, most float64) float64 {
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -13,8 +13,8 @@
 const (
 	engineService = "engines"
 	toolService   = "tools"
-	queueLength   = 24 // requests that wait at a target before it turns more away
-	slotCost      = 0.013
+	queueLength   = 24                     // requests that wait at a target before it turns more away
+	slotCost      = 0.013                  // by which each request more lengthens the steps of an engine
 	exchangeTime  = 250 * time.Millisecond // between the hosts' reports of their load
 	hopTime       = time.Millisecond
 	callerTime    = 2 * time.Millisecond
@@ -22,7 +22,7 @@
 	resends       = 2                      // of a turn that has failed with all its attempts
 )
 
-// Rates admits requests of a workspace. A nil answer field means at once.
+// Rates decides whether a request of a workspace may run.
 type Rates func(question quota.Question, now time.Time) quota.Answer
 
 // world is a deployment in virtual time.
@@ -47,7 +47,6 @@
 	engine  bool
 	running int
 	waiting []*job
-	ended   bool
 }
 
 type job struct {
@@ -120,7 +119,7 @@
 // turns it away.
 func (world *world) start(id string, work time.Duration, done func(served bool)) {
 	target := world.targets[id]
-	if target.ended || len(target.waiting) >= queueLength {
+	if len(target.waiting) >= queueLength {
 		world.after(2*hopTime, func() { done(false) })
 		return
 	}
@@ -195,7 +194,7 @@
 // request sends a request with its attempts, and again from its start if it is
 // a turn. The program fails with it.
 func (world *world) request(program *program, centre string, call call, resent int, done func()) {
-	world.attempt(program, centre, call, call.retries, func(served bool, reason string) {
+	world.attempt(program, centre, call, call.retries, func(served bool) {
 		switch {
 		case program.failed:
 		case served:
@@ -205,19 +204,19 @@
 				world.request(program, centre, call, resent+1, done)
 			})
 		default:
-			program.failed, program.reason = true, reason
+			program.failed = true
 		}
 	})
 }
 
-func (world *world) attempt(program *program, centre string, call call, retries int, done func(served bool, reason string)) {
+func (world *world) attempt(program *program, centre string, call call, retries int, done func(served bool)) {
 	if program.failed {
 		return
 	}
 	refused := func(reason string, retry time.Duration) {
 		world.reasons[reason]++
 		if retries == 0 {
-			done(false, reason)
+			done(false)
 			return
 		}
 		world.after(retry, func() { world.attempt(program, centre, call, retries-1, done) })
@@ -237,7 +236,6 @@
 		return
 	}
 	program.sent++
-	program.waited += answer.Delay
 	world.after(callerTime+answer.Delay, func() {
 		host := world.hostIn(centre)
 		service := toolService
@@ -246,7 +244,7 @@
 		}
 		world.send(host, service, nil, call, func(served bool) {
 			if served {
-				world.after(callerTime, func() { done(true, "") })
+				world.after(callerTime, func() { done(true) })
 				return
 			}
 			refused("no_target", 150*time.Millisecond)
