--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -231,9 +231,11 @@
 		refused("rate_exceeded", answer.Retry)
 		return
 	}
-	if call.turn && program.sent == 0 && world.hostIn(centre).board.Crowded(engineService, program.kind.Urgent) {
-		refused("targets_crowded", crowdedPause+time.Duration(world.random.Int64N(int64(crowdedPause))))
-		return
+	if call.turn && program.sent == 0 {
+		if _, crowded := world.hostIn(centre).board.Crowded(engineService, program.kind.Urgent); crowded {
+			refused("targets_crowded", crowdedPause+time.Duration(world.random.Int64N(int64(crowdedPause))))
+			return
+		}
 	}
 	program.sent++
 	world.after(callerTime+answer.Delay, func() {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -277,15 +277,17 @@
 	if visit.request.Program == "" || visit.request.Budget == 0 || visit.route.Retention == 0 {
 		return nil
 	}
+	crowd, crowded := front.board.Crowded(visit.service, visit.urgent())
 	settle, err := front.budgets.Reserve(ctx, budget.Claim{
 		Program: visit.request.Program, Budget: visit.request.Budget, Tokens: visit.request.MaxTokens, Expires: visit.timeLeft(),
-		UnderWay: visit.request.PreviousTurn == "" && front.board.Crowded(visit.service, visit.urgent()),
+		UnderWay: visit.request.PreviousTurn == "" && crowded,
 	})
 	switch {
 	case errors.Is(err, budget.ErrSpent):
 		return refuse(http.StatusPaymentRequired, "budget_spent")
 	case errors.Is(err, budget.ErrNotBegun):
-		return refuse(http.StatusServiceUnavailable, "targets_crowded").after(crowdedPause + rand.N(crowdedPause))
+		return refuse(http.StatusServiceUnavailable, "targets_crowded").after(crowdedPause + rand.N(crowdedPause)).
+			because(fmt.Errorf("service %q has %d requests under way on %d slots", visit.service, crowd.Load, crowd.Slots))
 	case err != nil:
 		return refuse(http.StatusServiceUnavailable, "budget_unavailable").after(storePause).because(err)
 	}
--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -74,6 +74,11 @@
 	is.True(!found)
 }
 
+func crowded(board *Board, service string, urgent bool) bool {
+	_, crowded := board.Crowded(service, urgent)
+	return crowded
+}
+
 // TestCrowded checks from which load on no program is begun, the less urgent
 // first, and that leaving targets do not count as room.
 func TestCrowded(t *testing.T) {
@@ -85,15 +90,15 @@
 		crowded, urgent bool
 	}{{10, false, false}, {14, false, false}, {15, true, false}, {19, true, false}, {20, true, true}} {
 		board.SetOthers(map[string]int{"one": test.load, "two": test.load})
-		is.Equal(board.Crowded("s", false), test.crowded) // test.load
-		is.Equal(board.Crowded("s", true), test.urgent)   // test.load
+		is.Equal(crowded(board, "s", false), test.crowded) // test.load
+		is.Equal(crowded(board, "s", true), test.urgent)   // test.load
 	}
 	board.SetOthers(map[string]int{"one": 15})
-	is.True(!board.Crowded("s", false))
+	is.True(!crowded(board, "s", false))
 	two.Draining = true
 	board.Put(two)
-	is.True(board.Crowded("s", false))
-	is.True(!board.Crowded("unknown", false))
+	is.True(crowded(board, "s", false))
+	is.True(!crowded(board, "unknown", false))
 }
 
 // TestFailedTargetReturns checks that a failed target is tried again after a
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -59,23 +59,26 @@
 	CrowdedUrgent = 1.95
 )
 
+// Crowd is the load of a service's targets.
+type Crowd struct{ Load, Slots int }
+
 // Crowded reports whether the targets of a service have no room for a new
-// program: those under way would end too late.
-func (board *Board) Crowded(service string, urgent bool) bool {
+// program, and their load: those under way would end too late.
+func (board *Board) Crowded(service string, urgent bool) (Crowd, bool) {
 	limit := board.policy.Crowded
 	if urgent {
 		limit *= CrowdedUrgent / CrowdedPart
 	}
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	load, slots := 0, 0
+	var crowd Crowd
 	for _, seat := range board.groups[service] {
 		if !seat.target.Draining && !board.missing[seat.target.ID] {
-			load += seat.own + seat.others
-			slots += max(1, seat.target.Slots)
+			crowd.Load += seat.own + seat.others
+			crowd.Slots += max(1, seat.target.Slots)
 		}
 	}
-	return slots > 0 && float64(load) >= limit*float64(slots)
+	return crowd, crowd.Slots > 0 && float64(crowd.Load) >= limit*float64(crowd.Slots)
 }
 
 // candidates returns the targets that may run a request, the first of them
--- a/internal/quota/account_test.go
+++ b/internal/quota/account_test.go
@@ -211,6 +211,25 @@
 	is.True(take(1) > 200)
 }
 
+// TestRaisedLimit checks that a higher limit holds at once, for the whole
+// window.
+func TestRaisedLimit(t *testing.T) {
+	is := is.New(t)
+	low, high := Limit{Rate: 10, Burst: 10, Window: 5 * time.Second}, Limit{Rate: 40, Burst: 40, Window: 5 * time.Second}
+	now := time.Unix(1000, 0)
+	account := NewAccount(low, Usual, NewHabits(), now)
+	for range 600 {
+		now = now.Add(10 * time.Millisecond)
+		account.Serve(Question{Limit: low}, 1, now)
+	}
+	taken := 0
+	for account.Serve(Question{Limit: high}, 1, now) == (Answer{Admitted: true}) {
+		taken++
+	}
+	is.True(taken >= 170) // 240 less the 60 of the lower limit
+	is.True(taken <= 185)
+}
+
 // TestReturnedRequests checks that requests which have not run do not count.
 func TestReturnedRequests(t *testing.T) {
 	is := is.New(t)
@@ -231,6 +250,8 @@
 	now := time.Unix(1000, 0)
 	account := NewAccount(limit, Usual, NewHabits(), now)
 	is.True(account.Serve(Question{Limit: limit, Program: "u0", Route: "urgent", Urgent: true}, 1, now).Admitted)
+	now = now.Add(5 * time.Second)
+	account.Serve(Question{Limit: limit}, 1, now)
 	refused := false
 	for number := range 100 {
 		now = now.Add(5 * time.Millisecond)
@@ -240,7 +261,6 @@
 		}
 	}
 	is.True(refused)
-	now = now.Add(100 * time.Millisecond)
 	is.True(account.Serve(Question{Limit: limit, Program: "u1", Route: "urgent", Urgent: true}, 1, now).Admitted)
 }
 
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -128,3 +128,24 @@
 		is.True(float64(served[true]) >= 0.6*rate*12) // and the rate is not left unused
 	}
 }
+
+// TestNotTheKeeper checks that a host which does not keep an account says so,
+// and that the one that asked then uses its own small part.
+func TestNotTheKeeper(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	fleet.clock.Advance(time.Second)
+	keeper, asking := fleet.hosts[0], fleet.hosts[1]
+	for _, host := range fleet.hosts {
+		for other := range fleet.hosts {
+			host.heard[other] = fleet.clock.Now()
+		}
+	}
+	if _, self := keeper.Home("w"); !self {
+		keeper, asking = asking, keeper
+	}
+	question := Question{Workspace: "w", Limit: Limit{Rate: 40, Burst: 40, Window: 5 * time.Second}}
+	is.True(keeper.limiter.Serve(question).Admitted)
+	is.Equal(asking.limiter.Serve(question), Answer{Elsewhere: true})
+	is.Equal(len(asking.limiter.accounts), 0)
+}
