Log, count and show the request limits that targets announce

Callers saw nothing of the incident, and the logs did not tell which host had seen which limit of a target, so the hypotheses could not be told apart. A host now decodes the limit of each response and records the latest one of each target: a line for each change, counters, a gauge and a list in /status. A limit that is not a decimal number is counted and logged, and changes nothing; a refusal without a limit does not lift one. Decisions are unchanged.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/godwitspread/godwitspread/internal/budget"
+	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/outbound"
@@ -73,6 +74,7 @@
 	budgets       BudgetReserver
 	turnHistory   TurnHistory
 	limitSettings func() quota.LimitSettings
+	targetLimits  *capacity.Board
 	draining      atomic.Bool
 	inFlight      atomic.Int64
 }
@@ -90,6 +92,7 @@
 	Budgets       BudgetReserver
 	TurnHistory   TurnHistory
 	LimitSettings func() quota.LimitSettings // rules by which workspaces' rates are enforced
+	TargetLimits  *capacity.Board            // request limits that targets announce
 }
 
 // New returns a handler with the given dependencies.
@@ -97,6 +100,7 @@
 	return &Handler{
 		clock: dependencies.Clock, logger: dependencies.Logger, metrics: dependencies.Metrics, configuration: dependencies.Configuration,
 		registry: dependencies.Registry, pool: dependencies.Pool, crashTracker: dependencies.CrashTracker, rateLimiter: dependencies.RateLimiter, budgets: dependencies.Budgets, turnHistory: dependencies.TurnHistory, limitSettings: dependencies.LimitSettings,
+		targetLimits: dependencies.TargetLimits,
 	}
 }
 
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -90,7 +90,9 @@
 	if err != nil {
 		return nil, request.Response{}, err
 	}
-	return response, platform.DecodeResponse(response.StatusCode, response.Header), nil
+	head := platform.DecodeResponse(response.StatusCode, response.Header)
+	exchange.observeLimit(target, head)
+	return response, head, nil
 }
 
 // responseTimeout returns how long a target may take to begin its response
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"go.uber.org/fx"
 
 	"github.com/godwitspread/godwitspread/internal/budget"
+	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/front"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/mesh"
@@ -62,6 +63,7 @@
 	registry      *placement.Registry
 	pool          *outbound.Pool
 	crashTracker  *placement.CrashTracker
+	targetLimits  *capacity.Board
 	configuration *configuration
 	targetTracker *targetTracker
 	front         *front.Handler
@@ -97,7 +99,7 @@
 	gateway := &Gateway{
 		settings: settings, clock: clock, logger: logger, metrics: metric.New(settings.Host, settings.DataCentre),
 		directStore: platform.NewStore(settings.Store.Address), registry: placement.NewRegistry(settings.DataCentre, placement.DefaultPolicy(mathrand.IntN)),
-		pool: outbound.NewPool(clock), crashTracker: placement.NewCrashTracker(),
+		pool: outbound.NewPool(clock), crashTracker: placement.NewCrashTracker(), targetLimits: capacity.NewBoard(),
 	}
 	gateway.ctx, gateway.cancel = context.WithCancel(context.Background())
 	gateway.self = mesh.Member{
@@ -131,7 +133,7 @@
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
 		Registry: gateway.registry, Pool: gateway.pool, CrashTracker: gateway.crashTracker,
 		RateLimiter: gateway.limiter, Budgets: gateway.reserver, TurnHistory: gateway.histories,
-		LimitSettings: gateway.limitSettings,
+		LimitSettings: gateway.limitSettings, TargetLimits: gateway.targetLimits,
 	})
 	gateway.callerServer = newCallerServer(gateway.front, logger, settings.FileDescriptors/2)
 	gateway.configuration.onChange = func(table *route.Table) { gateway.callerServer.applyLimits(table.Limits()) }
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -33,7 +33,8 @@
 }
 
 // evictUnused settles expired reservations, evicts ended programs, updates the
-// limits of idle connections, and closes idle connections to removed targets.
+// limits of idle connections, closes idle connections to removed targets, and
+// deletes their request limits.
 func (gateway *Gateway) evictUnused() {
 	gateway.reserver.ExpireReservations()
 	targets := gateway.registry.Targets()
@@ -43,6 +44,8 @@
 	}
 	gateway.pool.SetIdleLimits(gateway.idleConnections(targets))
 	gateway.pool.CloseIdle(func(id string) bool { return known[id] })
+	gateway.targetLimits.Retain(func(id string) bool { return known[id] })
+	gateway.metrics.SetGauge("targets_limited", float64(len(gateway.targetLimits.Limits())))
 }
 
 // idleConnectionShare is the share of a target's connection limit that all hosts
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -9,20 +11,28 @@
 
 // Status is the state of a host that operators can query.
 type Status struct {
-	Host             string       `json:"host"`
-	DataCentre       string       `json:"data_centre"`
-	Incarnation      string       `json:"incarnation"`
-	Started          time.Time    `json:"started"`
-	Ready            bool         `json:"ready"`
-	Stopping         bool         `json:"stopping"`
-	Version          int64        `json:"configuration_version"`
-	ConfigurationAge string       `json:"configuration_age"` // time since the store last confirmed the version
-	StoreReached     bool         `json:"store_reached"`
-	StoreLastFailed  string       `json:"store_last_failed,omitempty"`
-	RequestsInFlight int64        `json:"requests_under_way"`
-	Targets          int          `json:"targets"`
-	Peers            []PeerStatus `json:"peers"`
-	Unreachable      []string     `json:"lost"` // the store, if its direct path fails, and the unreachable hosts
+	Host             string        `json:"host"`
+	DataCentre       string        `json:"data_centre"`
+	Incarnation      string        `json:"incarnation"`
+	Started          time.Time     `json:"started"`
+	Ready            bool          `json:"ready"`
+	Stopping         bool          `json:"stopping"`
+	Version          int64         `json:"configuration_version"`
+	ConfigurationAge string        `json:"configuration_age"` // time since the store last confirmed the version
+	StoreReached     bool          `json:"store_reached"`
+	StoreLastFailed  string        `json:"store_last_failed,omitempty"`
+	RequestsInFlight int64         `json:"requests_under_way"`
+	Targets          int           `json:"targets"`
+	TargetLimits     []TargetLimit `json:"target_limits,omitempty"`
+	Peers            []PeerStatus  `json:"peers"`
+	Unreachable      []string      `json:"lost"` // the store, if its direct path fails, and the unreachable hosts
+}
+
+// TargetLimit is the request limit that a target announces.
+type TargetLimit struct {
+	Target    string  `json:"target"`
+	PerSecond float64 `json:"per_second"`
+	Age       string  `json:"age"` // time since a host has received the announcement
 }
 
 // PeerStatus is the last known state of another reachable host.
@@ -55,6 +65,12 @@
 			Host: peer.Member.Host, DataCentre: peer.Member.DataCentre, Version: peer.Version, StoreReached: peer.StoreReachable,
 		})
 	}
+	for target, announcement := range gateway.targetLimits.Limits() {
+		status.TargetLimits = append(status.TargetLimits, TargetLimit{
+			Target: target, PerSecond: announcement.Rate, Age: gateway.clock.Since(announcement.ObservedAt).Round(time.Millisecond).String(),
+		})
+	}
+	slices.SortFunc(status.TargetLimits, func(left, right TargetLimit) int { return strings.Compare(left.Target, right.Target) })
 	status.Unreachable = append(status.Unreachable, gateway.mesh.UnreachableHosts()...)
 	return status
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -41,8 +41,22 @@
 	Load      Load
 	HasLoad   bool
 	Streaming bool
+
+	LimitState LimitState
+	Limit      float64 // requests a second that the target accepts from all hosts together, if it names a limit
 }
 
+// LimitState tells what a response says about the requests that its target
+// accepts.
+type LimitState uint8
+
+// Values of LimitState.
+const (
+	NoLimit         LimitState = iota
+	NamedLimit                 // Response.Limit is valid
+	UnreadableLimit            // the response contains a limit that is not a decimal number
+)
+
 // Load is the load that a target reports about itself.
 type Load struct {
 	Running int
