Keep the requests of all hosts within the limits that targets announce

Callers saw nothing; targets in need got far more requests than the limit they had named to the hosts, and were worn down by it.

Another host takes over with an empty bucket; a leaving host hands over at once; isolated hosts use their share. A limit belongs to one boot of a target and ends with the first response without it. A target without room is left out of the choice for as long as it has none; a request waits for room up to 0.4 s if no target has any, and is otherwise refused at once with the time at which there will be room.

Ruled out: retries that go around the limit (the targets refused nothing) and limits that flap (each response of seconds 6 to 25 names the same).

--- a/internal/capacity/board.go
+++ b/internal/capacity/board.go
@@ -1,18 +1,35 @@
 // Package capacity enforces the request limits that targets announce in their
-// responses. A limit is for all hosts together.
+// responses. A limit is for all hosts together, so the hosts share what each has
+// heard, and one of them, the coordinator of the target, grants permits from it.
 package capacity
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
+// liftedReportTime is how long a host reports that a target has lifted its limit.
+// Hosts that were not reachable meanwhile find out with their next request.
+const liftedReportTime = 10 * time.Second
+
 // Announcement is the statement of a target about the requests that it accepts
 // from all hosts together.
 type Announcement struct {
 	Limited    bool
 	Rate       float64 // requests a second, if limited
+	Boot       int64   // start time of the target in Unix milliseconds; a restarted target is not bound by its earlier statements
 	ObservedAt time.Time
+	own        bool // this host has received the response itself
+}
+
+// Report is an announcement in a message to another host. It contains an age,
+// because the clocks of hosts differ.
+type Report struct {
+	Limited bool          `msgpack:"l,omitempty"`
+	Rate    float64       `msgpack:"r,omitempty"`
+	Boot    int64         `msgpack:"b,omitempty"`
+	Age     time.Duration `msgpack:"a,omitempty"` // since the response
 }
 
 // Board contains the latest announcement of each target. It is safe for
@@ -25,9 +42,28 @@
 // NewBoard returns an empty board.
 func NewBoard() *Board { return &Board{announcements: make(map[string]Announcement)} }
 
-// Observe records an announcement unless a later one is known. It reports
-// whether the limit of the target has changed.
+// Observe records an announcement from a response that this host has received.
+// It reports whether the limit of the target has changed.
 func (board *Board) Observe(target string, announcement Announcement) bool {
+	announcement.own = true
+	return board.record(target, announcement)
+}
+
+// Merge records an announcement that another host reports. It reports whether the
+// limit of the target has changed.
+func (board *Board) Merge(target string, report Report, now time.Time) bool {
+	if report.Age < 0 || !validRate(report.Rate) {
+		return false
+	}
+	return board.record(target, Announcement{Limited: report.Limited, Rate: report.Rate, Boot: report.Boot, ObservedAt: now.Add(-report.Age)})
+}
+
+// validRate reports whether a rate from another host is a number of requests a
+// second.
+func validRate(rate float64) bool { return rate >= 0 && rate <= math.MaxFloat64 }
+
+// record replaces the announcement of a target unless a later one is known.
+func (board *Board) record(target string, announcement Announcement) bool {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	previous, known := board.announcements[target]
@@ -38,16 +74,19 @@
 		return false
 	}
 	board.announcements[target] = announcement
-	return previous.Limited != announcement.Limited || previous.Rate != announcement.Rate
+	return previous.Limited != announcement.Limited || previous.Rate != announcement.Rate || announcement.Limited && previous.Boot != announcement.Boot
 }
 
 // Limit returns the requests a second that a target accepts from all hosts
-// together, and false if it announces no limit.
-func (board *Board) Limit(target string) (float64, bool) {
+// together, and false if it announces no limit since its start.
+func (board *Board) Limit(target string, boot int64) (float64, bool) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	announcement := board.announcements[target]
-	return announcement.Rate, announcement.Limited
+	if !announcement.Limited || announcement.Boot != boot {
+		return 0, false
+	}
+	return announcement.Rate, true
 }
 
 // Limits returns the announcements of the targets that announce a limit, by
@@ -64,6 +103,26 @@
 	return limits
 }
 
+// Reports returns what this host tells the other hosts, by target ID: the limits,
+// and those lifted recently, of which it has received the latest response. The
+// other hosts report theirs themselves.
+func (board *Board) Reports(now time.Time) map[string]Report {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	var reports map[string]Report
+	for target, announcement := range board.announcements {
+		age := max(0, now.Sub(announcement.ObservedAt))
+		if !announcement.own || !announcement.Limited && age > liftedReportTime {
+			continue
+		}
+		if reports == nil {
+			reports = make(map[string]Report)
+		}
+		reports[target] = Report{Limited: announcement.Limited, Rate: announcement.Rate, Boot: announcement.Boot, Age: age}
+	}
+	return reports
+}
+
 // Retain deletes the announcements of the targets for which keep returns false.
 func (board *Board) Retain(keep func(target string) bool) {
 	board.mutex.Lock()
--- /dev/null
+++ b/internal/capacity/limiter.go
@@ -0,0 +1,140 @@
+package capacity
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/metric"
+)
+
+// Coordinators locates and calls the coordinator of a target: the host that grants
+// the permits for its limit.
+type Coordinators interface {
+	TargetCoordinator(target string) (address string, self bool)
+	RequestPermit(ctx context.Context, address string, request PermitRequest) (PermitResponse, error)
+	// ReachableShare returns the fraction of all hosts that are reachable from
+	// this host, itself included, and the fraction that a single host makes up.
+	ReachableShare() (reachable, single float64)
+}
+
+const (
+	bucketIdleTimeout = time.Minute // after which an unused bucket is evicted
+	// fallbackShare is the fraction of a single host's share of the limit that
+	// it grants without the coordinator, which may still grant the whole limit
+	// because it has not yet detected that this host is isolated.
+	fallbackShare = 0.3
+)
+
+// PermitRequest asks the coordinator of a target for a permit to send it a request.
+type PermitRequest struct {
+	Target   string        `msgpack:"t"`
+	Boot     int64         `msgpack:"b,omitempty"` // start time of the target, in Unix milliseconds
+	Rate     float64       `msgpack:"r"`           // limit that the asking host knows, in requests a second
+	MaxDelay time.Duration `msgpack:"d,omitempty"` // longest time that the request can wait
+}
+
+// PermitResponse is the decision of the coordinator.
+type PermitResponse struct {
+	Granted    bool          `msgpack:"g,omitempty"`
+	Delay      time.Duration `msgpack:"d,omitempty"` // before a request with a permit may be sent
+	RetryAfter time.Duration `msgpack:"t,omitempty"` // after which the target has room, if there is no permit
+	// NotCoordinator reports that the responding host does not grant the permits
+	// of the target.
+	NotCoordinator bool `msgpack:"n,omitempty"`
+}
+
+// Limiter keeps the requests of all hosts to a target within the limit that the
+// target announces.
+type Limiter struct {
+	board        *Board
+	coordinators Coordinators
+	clock        clockwork.Clock
+	metrics      *metric.Metrics
+
+	mutex    sync.Mutex
+	buckets  map[string]*bucket // of the targets that this host coordinates
+	fallback map[string]*bucket // used while the coordinator is unreachable
+}
+
+// NewLimiter returns a limiter for the limits on a board.
+func NewLimiter(board *Board, coordinators Coordinators, clock clockwork.Clock, metrics *metric.Metrics) *Limiter {
+	return &Limiter{
+		board: board, coordinators: coordinators, clock: clock, metrics: metrics,
+		buckets: make(map[string]*bucket), fallback: make(map[string]*bucket),
+	}
+}
+
+// Acquire returns a permit to send a request to a target within maxDelay. A
+// target that announces no limit needs none.
+func (limiter *Limiter) Acquire(ctx context.Context, target string, boot int64, maxDelay time.Duration) PermitResponse {
+	rate, limited := limiter.board.Limit(target, boot)
+	if !limited {
+		return PermitResponse{Granted: true}
+	}
+	request := PermitRequest{Target: target, Boot: boot, Rate: rate, MaxDelay: maxDelay}
+	address, self := limiter.coordinators.TargetCoordinator(target)
+	if self {
+		return limiter.Serve(request)
+	}
+	response, err := limiter.coordinators.RequestPermit(ctx, address, request)
+	if err == nil && !response.NotCoordinator {
+		return response
+	}
+	limiter.metrics.CountRetry("permit_coordinator_lost")
+	_, single := limiter.coordinators.ReachableShare()
+	return limiter.take(limiter.fallback, request, single*fallbackShare)
+}
+
+// Serve decides on a permit as the coordinator of the target. It prefers the limit
+// that this host knows: the asking host may not have heard of a change.
+func (limiter *Limiter) Serve(request PermitRequest) PermitResponse {
+	if _, self := limiter.coordinators.TargetCoordinator(request.Target); !self {
+		return PermitResponse{NotCoordinator: true}
+	}
+	if rate, limited := limiter.board.Limit(request.Target, request.Boot); limited {
+		request.Rate = rate
+	}
+	if !validRate(request.Rate) {
+		request.Rate = 0
+	}
+	reachable, _ := limiter.coordinators.ReachableShare()
+	return limiter.take(limiter.buckets, request, reachable)
+}
+
+// take takes a token from the target's bucket, which gets a share of the limit.
+func (limiter *Limiter) take(buckets map[string]*bucket, request PermitRequest, share float64) PermitResponse {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	now := limiter.clock.Now()
+	bucket, ok := buckets[request.Target]
+	if !ok {
+		bucket = newBucket(now)
+		buckets[request.Target] = bucket
+	}
+	delay, granted := bucket.take(max(minRate, request.Rate)*share, request.MaxDelay, now)
+	if !granted {
+		return PermitResponse{RetryAfter: delay}
+	}
+	return PermitResponse{Granted: true, Delay: delay}
+}
+
+// EvictBuckets evicts the buckets that have not been used for a while, and those of
+// targets that another host coordinates now.
+func (limiter *Limiter) EvictBuckets() {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	now := limiter.clock.Now()
+	for target, bucket := range limiter.buckets {
+		if _, self := limiter.coordinators.TargetCoordinator(target); !self || now.Sub(bucket.updated) > bucketIdleTimeout {
+			delete(limiter.buckets, target)
+		}
+	}
+	for target, bucket := range limiter.fallback {
+		if now.Sub(bucket.updated) > bucketIdleTimeout {
+			delete(limiter.fallback, target)
+		}
+	}
+}
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -241,7 +241,7 @@
 		return
 	}
 	if call.isTurn && program.attempts == 0 {
-		if _, overloaded := simulation.randomHost(centre).registry.Overloaded(engineService, program.kind.Urgent); overloaded {
+		if _, overloaded := simulation.randomHost(centre).registry.Overloaded(engineService, program.kind.Urgent, simulation.now); overloaded {
 			refuse("targets_crowded", overloadRetryDelay+time.Duration(simulation.random.Int64N(int64(overloadRetryDelay))))
 			return
 		}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -75,6 +75,7 @@
 	turnHistory   TurnHistory
 	limitSettings func() quota.LimitSettings
 	targetLimits  *capacity.Board
+	targetLimiter *capacity.Limiter
 	draining      atomic.Bool
 	inFlight      atomic.Int64
 }
@@ -93,6 +94,7 @@
 	TurnHistory   TurnHistory
 	LimitSettings func() quota.LimitSettings // rules by which workspaces' rates are enforced
 	TargetLimits  *capacity.Board            // request limits that targets announce
+	TargetLimiter *capacity.Limiter          // enforces these limits
 }
 
 // New returns a handler with the given dependencies.
@@ -100,7 +102,7 @@
 	return &Handler{
 		clock: dependencies.Clock, logger: dependencies.Logger, metrics: dependencies.Metrics, configuration: dependencies.Configuration,
 		registry: dependencies.Registry, pool: dependencies.Pool, crashTracker: dependencies.CrashTracker, rateLimiter: dependencies.RateLimiter, budgets: dependencies.Budgets, turnHistory: dependencies.TurnHistory, limitSettings: dependencies.LimitSettings,
-		targetLimits: dependencies.TargetLimits,
+		targetLimits: dependencies.TargetLimits, targetLimiter: dependencies.TargetLimiter,
 	}
 }
 
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -32,7 +32,10 @@
 // response first, so that a truncated one never looks complete to the caller.
 func (exchange *exchange) servePlain(ctx context.Context) *rejection {
 	for len(exchange.triedTargets) < maxTargets {
-		target, found := exchange.chooseTarget()
+		target, found, rejection := exchange.acquireTarget(ctx)
+		if rejection != nil {
+			return rejection
+		}
 		if !found {
 			break
 		}
@@ -64,14 +67,14 @@
 	return body, err
 }
 
-// chooseTarget selects a target that has not been tried yet. A session of an
-// engine has affinity to the target that caches its context.
-func (exchange *exchange) chooseTarget() (placement.Target, bool) {
+// placementRequest returns the request for a target that has not been tried yet.
+// A session of an engine has affinity to the target that caches its context.
+func (exchange *exchange) placementRequest() placement.Request {
 	affinity := exchange.request.Affinity
 	if exchange.request.Session != "" && exchange.request.MaxTokens > 0 {
 		affinity = exchange.request.Session
 	}
-	return exchange.handler.registry.Choose(placement.Request{Service: exchange.service, Affinity: affinity, Tried: exchange.triedTargets}, exchange.handler.clock.Now())
+	return placement.Request{Service: exchange.service, Affinity: affinity, Tried: exchange.triedTargets}
 }
 
 // send sends the request to a target and returns the head of its response. It
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -50,7 +50,10 @@
 		}
 	}()
 	for len(exchange.triedTargets) < maxTargets {
-		target, found := exchange.chooseTarget()
+		target, found, rejection := exchange.acquireTarget(ctx)
+		if rejection != nil {
+			return relay.fail(rejection)
+		}
 		if !found {
 			break
 		}
@@ -67,8 +70,7 @@
 			response.Abort()
 			err = &outbound.SendError{Sent: true, Err: err}
 		}
-		rejection := exchange.handleFailure(ctx, target, response, head, err)
-		if rejection != nil {
+		if rejection := exchange.handleFailure(ctx, target, response, head, err); rejection != nil {
 			return relay.fail(rejection)
 		}
 	}
@@ -283,7 +285,7 @@
 	if exchange.request.Program == "" || exchange.request.Budget == 0 || exchange.route.Retention == 0 {
 		return nil
 	}
-	load, overloaded := handler.registry.Overloaded(exchange.service, exchange.urgent())
+	load, overloaded := handler.registry.Overloaded(exchange.service, exchange.urgent(), handler.clock.Now())
 	settle, err := handler.budgets.Reserve(ctx, budget.Claim{
 		Program: exchange.request.Program, Budget: exchange.request.Budget, Tokens: exchange.request.MaxTokens, TTL: exchange.timeLeft(),
 		StartedOnly: exchange.request.PreviousTurn == "" && overloaded,
@@ -293,7 +295,7 @@
 		return newRejection(http.StatusPaymentRequired, "budget_spent")
 	case errors.Is(err, budget.ErrNotStarted):
 		return newRejection(http.StatusServiceUnavailable, "targets_crowded").withRetryDelay(overloadRetryDelay + rand.N(overloadRetryDelay)).
-			withCause(fmt.Errorf("service %q has %d requests in flight on %d slots", exchange.service, load.InFlight, load.Slots))
+			withCause(fmt.Errorf("service %q has %d requests in flight on %d slots, and %d targets at their request limits", exchange.service, load.InFlight, load.Slots, load.Paused))
 	case err != nil:
 		return newRejection(http.StatusServiceUnavailable, "budget_unavailable").withRetryDelay(storeRetryDelay).withCause(err)
 	}
--- a/internal/front/target_limit.go
+++ b/internal/front/target_limit.go
@@ -1,6 +1,12 @@
 package front
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
 	"github.com/apex/log"
 
 	"github.com/godwitspread/godwitspread/internal/capacity"
@@ -8,6 +14,62 @@
 	"github.com/godwitspread/godwitspread/internal/request"
 )
 
+const (
+	// maxPermitDelay is the longest time that a request waits for room at a target;
+	// a program still meets its deadline after it.
+	maxPermitDelay    = 400 * time.Millisecond
+	maxTargetPause    = time.Second // after which a target without room is asked again; its limit may have changed
+	maxPermitRequests = 8           // targets asked for room for one request, before it waits for one
+)
+
+// acquireTarget selects a target whose request limit leaves room, and waits for
+// room only if no target has any. It returns false if no target is left, and a
+// rejection if none will have room soon.
+func (exchange *exchange) acquireTarget(ctx context.Context) (placement.Target, bool, *rejection) {
+	handler, request := exchange.handler, exchange.placementRequest()
+	for range maxPermitRequests {
+		target, found := handler.registry.Choose(request, handler.clock.Now())
+		if !found {
+			break
+		}
+		permit := handler.targetLimiter.Acquire(ctx, target.ID, target.StartedAtMillis, 0)
+		if permit.Granted {
+			return target, true, nil
+		}
+		handler.registry.Pause(target.ID, handler.clock.Now().Add(min(maxTargetPause, permit.RetryAfter)))
+		handler.metrics.Count("target_limit_reached")
+	}
+	target, wait, found := handler.registry.ChoosePaused(request, handler.clock.Now())
+	if !found {
+		return placement.Target{}, false, nil
+	}
+	permit := handler.targetLimiter.Acquire(ctx, target.ID, target.StartedAtMillis, min(maxPermitDelay, exchange.timeLeft()/2))
+	if !permit.Granted {
+		handler.registry.Pause(target.ID, handler.clock.Now().Add(min(maxTargetPause, max(wait, permit.RetryAfter))))
+		return placement.Target{}, false, exchange.limitRejection(permit.RetryAfter)
+	}
+	handler.metrics.ObserveLatency("permit_wait", permit.Delay)
+	exchange.waitTime += permit.Delay
+	select {
+	case <-handler.clock.After(permit.Delay):
+		return target, true, nil
+	case <-ctx.Done():
+		exchange.recordOutcome(target, placement.Abandoned)
+		return placement.Target{}, false, exchange.deadlineRejection()
+	}
+}
+
+// limitRejection returns the rejection of a request for which no target has room
+// until a delay has passed.
+func (exchange *exchange) limitRejection(delay time.Duration) *rejection {
+	if exchange.possibleRuns > 0 {
+		return newRejection(http.StatusBadGateway, "outcome_unknown")
+	}
+	// The jitter spreads callers that would return for the same permit.
+	return newRejection(http.StatusServiceUnavailable, "targets_limited").withRetryDelay(delay + rand.N(busyRetryDelay)).
+		withCause(fmt.Errorf("no target of service %q has room under its request limit for %v", exchange.service, delay.Round(time.Millisecond)))
+}
+
 // observeLimit records what the response of a target says about the requests
 // that it accepts. Only a response to a request that ran can lift a limit: a
 // refusal need not repeat it.
@@ -16,7 +78,7 @@
 	if head.Target != "" && head.Target != target.ID {
 		return
 	}
-	announcement := capacity.Announcement{ObservedAt: handler.clock.Now()}
+	announcement := capacity.Announcement{Boot: target.StartedAtMillis, ObservedAt: handler.clock.Now()}
 	switch head.LimitState {
 	case request.NamedLimit:
 		announcement.Limited, announcement.Rate = true, head.Limit
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -212,6 +212,7 @@
 	body     string
 	header   http.Header
 	attempt  string
+	duration time.Duration
 	complete bool
 	err      error
 }
@@ -223,7 +224,7 @@
 		Attempt: "a" + strconv.FormatInt(attemptCounter.Add(1), 10), Program: request.program, Previous: request.previous,
 		Budget: request.budget, Tokens: request.tokens, TimeLimit: request.limit, Header: request.header,
 	})
-	return testResponse{status: response.Status, body: response.Body, header: response.Header, attempt: response.Attempt, complete: response.Complete, err: response.Err}
+	return testResponse{status: response.Status, body: response.Body, header: response.Header, attempt: response.Attempt, duration: response.Duration, complete: response.Complete, err: response.Err}
 }
 
 // runsOf returns the runs of an attempt on the targets of the fleet.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	pool          *outbound.Pool
 	crashTracker  *placement.CrashTracker
 	targetLimits  *capacity.Board
+	targetLimiter *capacity.Limiter
 	configuration *configuration
 	targetTracker *targetTracker
 	front         *front.Handler
@@ -116,6 +117,7 @@
 		Partitions: partitions, Recall: gateway.mesh.Recall, Reachable: gateway.store.Reachable,
 	})
 	gateway.limiter = quota.NewLimiter(gateway.mesh, clock, gateway.metrics)
+	gateway.targetLimiter = capacity.NewLimiter(gateway.targetLimits, gateway.mesh, clock, gateway.metrics)
 	gateway.reserver = budget.NewReserver(gateway.allocator, gateway.mesh, clock, gateway.metrics)
 	gateway.histories = history.New(history.Dependencies{
 		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Peers: gateway.mesh, Partitions: partitions,
@@ -125,6 +127,7 @@
 	gateway.transport = peer.NewTransport(settings.Host, gateway.self.Incarnation, settings.PeerSecret, clock, gateway.mesh.Handler(mesh.Operations{
 		Store: gateway.directStore, Chain: gateway.histories.CachedChain, Push: gateway.histories.CacheTurns,
 		Release: gateway.allocator.Release, Reserve: gateway.reserver.HandleReserve, Settle: gateway.reserver.HandleSettle, DecideAdmission: gateway.limiter.Serve, ProgramStarted: gateway.reserver.Started,
+		GrantPermit: gateway.targetLimiter.Serve,
 	}))
 	gateway.mesh.SetTransport(gateway.transport)
 	gateway.configuration = newConfiguration(settings, gateway.store, clock, logger)
@@ -133,7 +136,7 @@
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
 		Registry: gateway.registry, Pool: gateway.pool, CrashTracker: gateway.crashTracker,
 		RateLimiter: gateway.limiter, Budgets: gateway.reserver, TurnHistory: gateway.histories,
-		LimitSettings: gateway.limitSettings, TargetLimits: gateway.targetLimits,
+		LimitSettings: gateway.limitSettings, TargetLimits: gateway.targetLimits, TargetLimiter: gateway.targetLimiter,
 	})
 	gateway.callerServer = newCallerServer(gateway.front, logger, settings.FileDescriptors/2)
 	gateway.configuration.onChange = func(table *route.Table) { gateway.callerServer.applyLimits(table.Limits()) }
@@ -165,6 +168,7 @@
 	status := mesh.Status{
 		Stopping: gateway.stopping.Load(), StoreReachable: gateway.store.DirectReachable(), StoreFast: gateway.store.DirectFast(),
 		Load: gateway.registry.LocalLoad(), CrashCounts: gateway.crashTracker.LocalCrashes(gateway.clock.Now()),
+		TargetLimits: gateway.targetLimits.Reports(gateway.clock.Now()),
 	}
 	if table := gateway.configuration.Table(); table != nil {
 		status.Version = table.Version()
@@ -172,12 +176,20 @@
 	return status
 }
 
-// observeStatus records the load, the target crashes and the configuration
-// version that another host reports.
+// observeStatus records the load, the target crashes, the limits of targets and
+// the configuration version that another host reports.
 func (gateway *Gateway) observeStatus(status mesh.Status) {
 	gateway.registry.SetRemoteLoad(gateway.mesh.RemoteLoad())
 	gateway.crashTracker.SetRemoteCrashes(status.Member.Host, status.CrashCounts)
 	gateway.configuration.refreshIfOlder(status.Version)
+	for target, report := range status.TargetLimits {
+		if gateway.targetLimits.Merge(target, report, gateway.clock.Now()) {
+			gateway.metrics.Count("target_limits_changed")
+			gateway.logger.WithFields(log.Fields{
+				"target": target, "limited": report.Limited, "per_second": report.Rate, "source": status.Member.Host, "age_ms": report.Age.Milliseconds(),
+			}).Info("request limit of a target changed")
+		}
+	}
 }
 
 // Start opens the listeners and starts following the store.
@@ -270,6 +282,7 @@
 func (gateway *Gateway) Stop(context.Context) error {
 	started := gateway.clock.Now()
 	gateway.stopping.Store(true)
+	gateway.mesh.Leave()
 	gateway.front.Drain()
 	gateway.logger.WithField("active", gateway.front.InFlight()).Info("host is stopping")
 	grace := gateway.bounds.Load().Grace
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -34,7 +34,7 @@
 
 // evictUnused settles expired reservations, evicts ended programs, updates the
 // limits of idle connections, closes idle connections to removed targets, and
-// deletes their request limits.
+// deletes their request limits and unused permits.
 func (gateway *Gateway) evictUnused() {
 	gateway.reserver.ExpireReservations()
 	targets := gateway.registry.Targets()
@@ -45,6 +45,7 @@
 	gateway.pool.SetIdleLimits(gateway.idleConnections(targets))
 	gateway.pool.CloseIdle(func(id string) bool { return known[id] })
 	gateway.targetLimits.Retain(func(id string) bool { return known[id] })
+	gateway.targetLimiter.EvictBuckets()
 	gateway.metrics.SetGauge("targets_limited", float64(len(gateway.targetLimits.Limits())))
 }
 
--- a/internal/gateway/target_limit_test.go
+++ b/internal/gateway/target_limit_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -74,10 +76,22 @@
 		name    string
 		path    string
 		targets func(*fleet) []*standin.Target
-		limits  []float64 // by target; 0 for none
+		limits  []float64    // by target; 0 for none
+		fault   func(*fleet) // after the limits are enforced
 	}{
-		{"plain service, one target", "/lookup/a", func(fleet *fleet) []*standin.Target { return fleet.tools }, []float64{3, 0, 0}},
-		{"engines, two targets", "/summary/a", func(fleet *fleet) []*standin.Target { return fleet.engines }, []float64{2, 0.5, 0}},
+		{"plain service, one target", "/lookup/a", func(fleet *fleet) []*standin.Target { return fleet.tools }, []float64{3, 0, 0}, nil},
+		{"engines, two targets", "/summary/a", func(fleet *fleet) []*standin.Target { return fleet.engines }, []float64{2, 0.5, 0}, nil},
+		{"a host restarts", "/lookup/a", func(fleet *fleet) []*standin.Target { return fleet.tools }, []float64{3, 3, 0}, func(fleet *fleet) {
+			restarted := fleet.hosts[3]
+			restarted.kill()
+			fleet.startHost(restarted)
+		}},
+		{"a host stops as planned", "/lookup/a", func(fleet *fleet) []*standin.Target { return fleet.tools }, []float64{3, 3, 0}, func(fleet *fleet) {
+			fleet.hosts[3].stopped = true
+			if err := fleet.hosts[3].Stop(context.Background()); err != nil {
+				fleet.t.Error(err)
+			}
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -91,7 +105,12 @@
 				}
 			}
 			start := time.Now()
-			responses := fleet.drive(testRequest{path: test.path, key: key}, fleet.hosts, 80*time.Millisecond, limitSettled+limitWindow+time.Second)
+			if test.fault != nil {
+				timer := time.AfterFunc(limitSettled+time.Second, func() { test.fault(fleet) })
+				defer timer.Stop()
+			}
+			// The fault affects the host that gets no requests of callers.
+			responses := fleet.drive(testRequest{path: test.path, key: key}, fleet.hosts[:3], 60*time.Millisecond, limitSettled+limitWindow+time.Second)
 			for _, response := range responses {
 				is.Equal(response.status, 200)
 			}
@@ -105,3 +124,47 @@
 		})
 	}
 }
+
+// TestTargetsAtTheirLimits guards against requests that wait for targets without
+// room until their deadline passes, and against refusals that leave room unused or
+// name a time at which there is none.
+func TestTargetsAtTheirLimits(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	const limit = 2.0 // of each of the three targets
+	for _, target := range fleet.tools {
+		target.SetLimit("2")
+	}
+	const duration = 4 * time.Second
+	responses := fleet.drive(testRequest{path: "/lookup/a", key: key}, fleet.hosts, 50*time.Millisecond, duration)
+	served, refused := 0, 0
+	for _, response := range responses {
+		if response.status == 200 {
+			served++
+			continue
+		}
+		refused++
+		is.Equal(response.status, 503)
+		is.True(strings.Contains(response.body, "targets_limited"))
+		is.Equal(len(fleet.runsOf(response.attempt)), 0)
+		is.True(response.duration < 300*time.Millisecond)
+		delay, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(delay > 0 && delay < 2)
+	}
+	allowed := len(fleet.tools) * int(limit*duration.Seconds())
+	t.Logf("%d served, %d refused, %d allowed", served, refused, allowed)
+	is.True(served >= allowed/2 && refused > 0)
+	for _, target := range fleet.tools {
+		target.SetLimit("")
+	}
+	fleet.eventually(3*time.Second, "requests are served without a limit", func() bool {
+		for range 20 {
+			if fleet.hosts[0].send(testRequest{path: "/lookup/a", key: key}).status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/godwitspread/godwitspread/internal/budget"
+	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/quota"
@@ -29,6 +29,7 @@
 	methodPush    = "push"
 	methodQuota   = "quota"
 	methodStarted = "begun"
+	methodPermit  = "permit"
 )
 
 // Operations are the functions of this host that other hosts can call.
@@ -41,6 +42,7 @@
 	Settle          func(settlement budget.Settlement)
 	DecideAdmission func(request quota.AdmissionRequest) quota.AdmissionResponse // decides as the coordinator of a workspace
 	ProgramStarted  func(program string) bool
+	GrantPermit     func(request capacity.PermitRequest) capacity.PermitResponse // decides as the coordinator of a target
 }
 
 type findRequest struct {
@@ -156,6 +158,9 @@
 		methodQuota: unaryHandler(func(_ context.Context, request quota.AdmissionRequest) (quota.AdmissionResponse, error) {
 			return operations.DecideAdmission(request), nil
 		}),
+		methodPermit: unaryHandler(func(_ context.Context, request capacity.PermitRequest) (capacity.PermitResponse, error) {
+			return operations.GrantPermit(request), nil
+		}),
 		methodStarted: unaryHandler(func(_ context.Context, request startedRequest) (startedResponse, error) {
 			return startedResponse{Started: operations.ProgramStarted(request.Program)}, nil
 		}),
@@ -192,6 +197,7 @@
 	reserveTimeout     = 300 * time.Millisecond // two store calls and a round trip between hosts, with a margin
 	settleAttempts     = 3
 	quotaTimeout       = 120 * time.Millisecond
+	permitTimeout      = 60 * time.Millisecond // shorter than a turn; another target may have room
 )
 
 // FindChain implements history.Peers. It asks the program's coordinator in this
@@ -339,62 +345,11 @@
 	return response, err
 }
 
-// ReachableShare implements quota.Coordinators. It returns the share of the
-// known hosts that this host reaches, including itself, and the share of a
-// single host.
-func (mesh *Mesh) ReachableShare() (reachable, single float64) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	live := 1
-	for _, member := range mesh.members {
-		if mesh.clock.Since(member.lastSeen) <= livenessTimeout {
-			live++
-		}
-	}
-	total := float64(len(mesh.members) + 1)
-	return float64(live) / total, 1 / total
-}
-
-// Coordinator implements quota.Coordinators. It returns the coordinator of a key
-// among the hosts of all data centres, and whether it is this host. The
-// coordinator of a workspace keeps the quota account.
-func (mesh *Mesh) Coordinator(key string) (address string, self bool) {
-	coordinator, self := mesh.coordinatorOf(key, "")
-	return coordinator.Address, self
-}
-
-// BudgetCoordinator implements budget.Coordinators. It returns the host of this
-// data centre that counts a program's budget, and whether it is this host. The
-// coordinator is local because most programs stay in one data centre and
-// continue when a network partition isolates it.
-func (mesh *Mesh) BudgetCoordinator(program string) (address string, self bool) {
-	coordinator, self := mesh.coordinatorOf(program, mesh.self.DataCentre)
-	return coordinator.Address, self
-}
-
-// coordinatorOf returns the reachable host with the highest rendezvous hashing
-// weight for a key, and whether it is this host. An empty dataCentre selects
-// among the hosts of all data centres.
-func (mesh *Mesh) coordinatorOf(key, dataCentre string) (Member, bool) {
-	var best Member
-	highest := uint64(0)
-	if dataCentre == "" || dataCentre == mesh.self.DataCentre {
-		best, highest = mesh.self, rendezvousWeight(mesh.self.Host, key)
-	}
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	now := mesh.clock.Now()
-	for _, member := range mesh.members {
-		if dataCentre != "" && member.DataCentre != dataCentre || now.Sub(member.lastSeen) > livenessTimeout || member.status.Stopping {
-			continue
-		}
-		if weight := rendezvousWeight(member.Host, key); weight > highest {
-			best, highest = member.Member, weight
-		}
-	}
-	return best, best.Host == mesh.self.Host
-}
-
-func rendezvousWeight(host, key string) uint64 {
-	return xxhash.Sum64String(host + "\x00" + key)
+// RequestPermit implements capacity.Coordinators.
+func (mesh *Mesh) RequestPermit(ctx context.Context, address string, request capacity.PermitRequest) (capacity.PermitResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var response capacity.PermitResponse
+	err := mesh.transport.Ask(ctx, address, methodPermit, request, &response)
+	return response, err
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,11 +7,13 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/codec"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/store"
@@ -39,14 +41,15 @@
 
 // Status is the state of a host that it sends to the other hosts.
 type Status struct {
-	Member         Member         `msgpack:"m"`
-	Version        int64          `msgpack:"v,omitempty"` // of the configuration
-	StoreReachable bool           `msgpack:"s,omitempty"` // the direct path to the store has responded recently
-	StoreFast      bool           `msgpack:"f,omitempty"` // the mean latency of the direct path is low, so hedged calls of other hosts may use it
-	Load           map[string]int `msgpack:"l,omitempty"` // requests in flight, by target
-	Stopping       bool           `msgpack:"x,omitempty"`
-	RecentMembers  []Member       `msgpack:"k,omitempty"` // discovered in the last seconds
-	CrashCounts    map[uint64]int `msgpack:"q,omitempty"` // target crashes, by the digest of the request that was running
+	Member         Member                     `msgpack:"m"`
+	Version        int64                      `msgpack:"v,omitempty"` // of the configuration
+	StoreReachable bool                       `msgpack:"s,omitempty"` // the direct path to the store has responded recently
+	StoreFast      bool                       `msgpack:"f,omitempty"` // the mean latency of the direct path is low, so hedged calls of other hosts may use it
+	Load           map[string]int             `msgpack:"l,omitempty"` // requests in flight, by target
+	Stopping       bool                       `msgpack:"x,omitempty"`
+	RecentMembers  []Member                   `msgpack:"k,omitempty"` // discovered in the last seconds
+	CrashCounts    map[uint64]int             `msgpack:"q,omitempty"` // target crashes, by the digest of the request that was running
+	TargetLimits   map[string]capacity.Report `msgpack:"r,omitempty"` // request limits that targets announced to the host, by target
 }
 
 // memberState is another host with its last known status.
@@ -67,6 +70,8 @@
 	localStatus func() Status
 	onStatus    func(Status)
 
+	leaving atomic.Bool
+
 	mutex   sync.Mutex
 	members map[string]*memberState // by host
 }
@@ -77,6 +82,10 @@
 	return &Mesh{self: self, clock: clock, logger: logger, localStatus: localStatus, onStatus: onStatus, members: make(map[string]*memberState)}
 }
 
+// Leave makes this host hand the permits of targets over to the other hosts, as
+// they do when they learn that it is stopping.
+func (mesh *Mesh) Leave() { mesh.leaving.Store(true) }
+
 // SetTransport sets the transport for requests to other hosts.
 func (mesh *Mesh) SetTransport(transport *peer.Transport) { mesh.transport = transport }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -102,6 +102,33 @@
 	}
 }
 
+// TestTargetCoordinator checks that hosts agree on the coordinator of each target
+// while one of them is leaving, which coordinates only if it reaches no other host.
+func TestTargetCoordinator(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	leaving, other := newTestMesh(clock, "a1", "a"), newTestMesh(clock, "b1", "b")
+	for _, mesh := range []*Mesh{leaving, other} {
+		for _, host := range []string{"a1", "b1", "c1"} {
+			mesh.ObserveStatus(statusOf(host, host[:1]))
+		}
+	}
+	leaving.Leave()
+	stopping := statusOf("a1", "a")
+	stopping.Stopping = true
+	other.ObserveStatus(stopping)
+	for number := range 100 {
+		target := fmt.Sprint("t", number)
+		address, self := leaving.TargetCoordinator(target)
+		expected, _ := other.TargetCoordinator(target)
+		is.True(!self)
+		is.Equal(address, expected)
+	}
+	clock.Advance(livenessTimeout + time.Millisecond)
+	_, self := leaving.TargetCoordinator("t1")
+	is.True(self)
+}
+
 // TestRelayedErrors checks that errors which the store itself returned keep
 // their type when they are relayed, and that other errors fail the call.
 func TestRelayedErrors(t *testing.T) {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -46,11 +46,37 @@
 	if best == nil {
 		return Target{}, false
 	}
-	best.localInFlight++
+	return registry.place(best, request, now), true
+}
+
+// place counts a request as in flight at a target.
+func (registry *Registry) place(state *targetState, request Request, now time.Time) Target {
+	state.localInFlight++
 	if request.Affinity != "" {
-		registry.recordAffinity(request.Affinity, best.target.ID, now)
+		registry.recordAffinity(request.Affinity, state.target.ID, now)
 	}
-	return best.target, true
+	return state.target
+}
+
+// ChoosePaused selects the target whose pause ends first, for a request that
+// Choose finds no target for, and counts the request as in flight there. It
+// returns the time until the end of the pause, and false if no target is paused.
+func (registry *Registry) ChoosePaused(request Request, now time.Time) (Target, time.Duration, bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	var first *targetState
+	for _, state := range registry.byService[request.Service] {
+		if state.target.Draining || contains(request.Tried, state.target.ID) || !now.Before(state.pausedUntil) {
+			continue
+		}
+		if first == nil || state.pausedUntil.Before(first.pausedUntil) {
+			first = state
+		}
+	}
+	if first == nil {
+		return Target{}, 0, false
+	}
+	return registry.place(first, request, now), first.pausedUntil.Sub(now), true
 }
 
 // Thresholds of in-flight requests per slot from which a service starts no new
@@ -61,12 +87,17 @@
 )
 
 // ServiceLoad is the total load of the targets of a service.
-type ServiceLoad struct{ InFlight, Slots int }
+type ServiceLoad struct {
+	InFlight int
+	Slots    int
+	Paused   int // targets whose request limit leaves no room
+}
 
 // Overloaded returns the load of the targets of a service and reports whether
 // they are overloaded, so that a new program would delay the active ones past
-// their deadlines. Draining and missing targets do not count.
-func (registry *Registry) Overloaded(service string, urgent bool) (ServiceLoad, bool) {
+// their deadlines. Draining and missing targets do not count. A paused target
+// counts as full, because it has no room for further requests either.
+func (registry *Registry) Overloaded(service string, urgent bool, now time.Time) (ServiceLoad, bool) {
 	threshold := registry.policy.OverloadThreshold
 	if urgent {
 		threshold *= UrgentOverloadThreshold / DefaultOverloadThreshold
@@ -74,23 +105,32 @@
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	var load ServiceLoad
+	used := 0.0 // requests in flight, with those that would fill the paused targets
 	for _, state := range registry.byService[service] {
-		if !state.target.Draining && !registry.missing[state.target.ID] {
-			load.InFlight += state.localInFlight + state.remoteInFlight
-			load.Slots += max(1, state.target.Slots)
+		if state.target.Draining || registry.missing[state.target.ID] {
+			continue
+		}
+		inFlight, slots := state.localInFlight+state.remoteInFlight, max(1, state.target.Slots)
+		load.InFlight += inFlight
+		load.Slots += slots
+		if now.Before(state.pausedUntil) {
+			load.Paused++
+			used += max(float64(inFlight), threshold*float64(slots))
+		} else {
+			used += float64(inFlight)
 		}
 	}
-	return load, load.Slots > 0 && float64(load.InFlight) >= threshold*float64(load.Slots)
+	return load, load.Slots > 0 && used >= threshold*float64(load.Slots)
 }
 
-// candidates returns the targets that may run a request, beginning with the
-// random sample. It returns last-resort targets only if there are no others. The
+// candidates returns the targets that may run a request and are not paused,
+// beginning with the random sample. It returns last-resort targets only if there are no others. The
 // result is valid until the next call, which reuses its memory.
 func (registry *Registry) candidates(request Request, now time.Time) []*targetState {
 	registry.scratch = registry.scratch[:0]
 	healthy := 0
 	for _, state := range registry.byService[request.Service] {
-		if state.target.Draining || contains(request.Tried, state.target.ID) {
+		if state.target.Draining || contains(request.Tried, state.target.ID) || now.Before(state.pausedUntil) {
 			continue
 		}
 		registry.scratch = append(registry.scratch, state)
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -49,6 +49,7 @@
 	remoteInFlight int // requests that other hosts have in flight, as last reported
 	failures       int // consecutive failures
 	backoffUntil   time.Time
+	pausedUntil    time.Time // until then the target's request limit leaves no room
 }
 
 // affinityEntry is the target chosen most recently for an affinity.
@@ -172,6 +173,17 @@
 	Abandoned                // the caller left or the deadline passed first
 )
 
+// Pause withdraws a request that Choose placed on a target, because the request
+// limit of the target leaves no room, and chooses the target no more until then.
+func (registry *Registry) Pause(id string, until time.Time) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if state, ok := registry.targets[id]; ok {
+		state.localInFlight = max(0, state.localInFlight-1)
+		state.pausedUntil = until
+	}
+}
+
 // Done records the end of a request that Choose placed on a target. After a
 // refusal or failure the target is used only as a last resort until its
 // backoff has elapsed. The backoff after a refusal is short and constant.
--- a/internal/placement/registry_test.go
+++ b/internal/placement/registry_test.go
@@ -81,9 +81,39 @@
 	is.True(!found)
 }
 
+// TestPause guards against sending requests to a target whose request limit leaves
+// no room. It checks that the target whose pause ends first is offered when no
+// other is left, and that a pause ends.
+func TestPause(t *testing.T) {
+	is := is.New(t)
+	registry := registryWith(Target{ID: "one", Service: "s", Slots: 4}, Target{ID: "two", Service: "s", Slots: 4}, Target{ID: "other", Service: "r", Slots: 4})
+	now, request := time.Unix(1000, 0), Request{Service: "s"}
+	_, _, found := registry.ChoosePaused(request, now)
+	is.True(!found)
+	for _, id := range []string{"one", "two"} {
+		chosen, _ := registry.Choose(Request{Service: "s", Tried: []string{map[string]string{"one": "two", "two": "one"}[id]}}, now)
+		is.Equal(chosen.ID, id)
+	}
+	registry.Pause("two", now.Add(300*time.Millisecond))
+	chosen, _ := registry.Choose(request, now)
+	is.Equal(chosen.ID, "one")
+	registry.Pause("one", now.Add(200*time.Millisecond))
+	_, found = registry.Choose(request, now)
+	is.True(!found)
+	chosen, wait, found := registry.ChoosePaused(request, now)
+	is.True(found)
+	is.Equal(chosen.ID, "one")
+	is.Equal(wait, 200*time.Millisecond)
+	chosen, _, _ = registry.ChoosePaused(Request{Service: "s", Tried: []string{"one"}}, now)
+	is.Equal(chosen.ID, "two")
+	_, found = registry.Choose(request, now.Add(200*time.Millisecond))
+	is.True(found)
+	is.Equal(registry.LocalLoad(), map[string]int{"one": 3, "two": 1}) // withdrawn requests do not count
+}
+
 // overloaded reports whether a service is overloaded, without its load.
 func overloaded(registry *Registry, service string, urgent bool) bool {
-	_, overloaded := registry.Overloaded(service, urgent)
+	_, overloaded := registry.Overloaded(service, urgent, time.Unix(1000, 0))
 	return overloaded
 }
 
