Count targets at their request limits as full when programs start

Programs were begun that could not end in their aim: a target at its limit runs few requests, so its slots look free, and a host noticed it only for the part of a second in which the target has no room at all. It now counts as full for a second after such a pause.

TestOverloadedAtRequestLimits fails without it (pause has just ended).

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -86,6 +86,10 @@
 	UrgentOverloadThreshold  = 1.95
 )
 
+// saturationTime is how long a target counts as full after a pause. Its request
+// limit soon leaves room for a single request again, but not for a program.
+const saturationTime = time.Second
+
 // ServiceLoad is the total load of the targets of a service.
 type ServiceLoad struct {
 	InFlight int
@@ -95,8 +99,8 @@
 
 // Overloaded returns the load of the targets of a service and reports whether
 // they are overloaded, so that a new program would delay the active ones past
-// their deadlines. Draining and missing targets do not count. A paused target
-// counts as full, because it has no room for further requests either.
+// their deadlines. Draining and missing targets do not count. A target that is
+// or was just paused counts as full.
 func (registry *Registry) Overloaded(service string, urgent bool, now time.Time) (ServiceLoad, bool) {
 	threshold := registry.policy.OverloadThreshold
 	if urgent {
@@ -113,7 +117,7 @@
 		inFlight, slots := state.localInFlight+state.remoteInFlight, max(1, state.target.Slots)
 		load.InFlight += inFlight
 		load.Slots += slots
-		if now.Before(state.pausedUntil) {
+		if now.Before(state.pausedUntil.Add(saturationTime)) {
 			load.Paused++
 			used += max(float64(inFlight), threshold*float64(slots))
 		} else {
--- a/internal/placement/registry_test.go
+++ b/internal/placement/registry_test.go
@@ -140,6 +140,31 @@
 	is.True(!overloaded(registry, "unknown", false))
 }
 
+// TestOverloadedAtRequestLimits guards against starting programs because targets
+// at their request limits look idle: it leaves their slots free.
+func TestOverloadedAtRequestLimits(t *testing.T) {
+	is := is.New(t)
+	limited, unlimited := Target{ID: "limited", Service: "s", Slots: 10}, Target{ID: "unlimited", Service: "s", Slots: 10}
+	registry := registryWith(limited, unlimited)
+	now := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name       string
+		sinceStart time.Duration // of the pause, which lasts 100 ms
+		load       int           // at the target without a limit
+		overloaded bool
+	}{
+		{"other target has room", 50 * time.Millisecond, 14, false},
+		{"other target is full", 50 * time.Millisecond, 15, true},
+		{"pause has just ended", 200 * time.Millisecond, 15, true},
+		{"pause ended long ago", 2 * time.Second, 15, false},
+	} {
+		registry.Pause("limited", now.Add(100*time.Millisecond))
+		registry.SetRemoteLoad(map[string]int{"unlimited": test.load})
+		_, overloaded := registry.Overloaded("s", false, now.Add(test.sinceStart))
+		is.Equal(overloaded, test.overloaded) // test.name
+	}
+}
+
 // TestFailedTargetReturns guards against sending requests to a failing target
 // too early or never again. It checks that the backoff doubles with each
 // failure and that the target is used once it has elapsed.
