Bound the bytes that a target may send where no answer is due

A target that sent header lines without end made a host read them into memory until the request's deadline: 64 MB in 1.5 s in the test, and hosts have 154 MB. A refusal or a response to an earlier request with an endless body was read to its end before the request went on, and endless events were relayed, and kept for the turn, until the deadline.

Cause: only the body of a plain response and a single event had a size limit. The head of a response has one now (64 KiB); a body that nobody needs is read for at most 64 KiB and 0.1 s, then the connection is closed; a stream has the size limit of a plain response (8 MiB).

TestEndlessResponses failed in seven of ten cases before: 37 to 67 MB accepted where at most 24 are, or 1.5 s for an unsafe request that the endless head holds. Now all pass. Plain endless bodies were bounded already.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,8 +19,8 @@
 )
 
 const (
-	maxTargets    = 4       // targets tried for one attempt of a caller, including those that refuse it or are unreachable
-	maxPlainBytes = 8 << 20 // size limit of a response that is buffered
+	maxTargets       = 4       // targets tried for one attempt of a caller, including those that refuse it or are unreachable
+	maxResponseBytes = 8 << 20 // size limit of a response
 	// Targets that are not stuck respond well within these timeouts, even during
 	// bursts. Callers of streams give up after 2 seconds.
 	responseTimeoutFactor = 2
@@ -58,11 +59,13 @@
 	return exchange.exhaustedRejection()
 }
 
+var errResponseTooLarge = fmt.Errorf("response exceeds %d bytes", maxResponseBytes)
+
 // readWhole reads the body of a response up to the size limit.
 func readWhole(response *outbound.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainBytes+1))
-	if err == nil && len(body) > maxPlainBytes {
-		return nil, errors.New("response exceeds the size limit")
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		return nil, errResponseTooLarge
 	}
 	return body, err
 }
@@ -119,11 +122,7 @@
 	switch {
 	case err == nil:
 		// The target states that it has not run the request.
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			response.Abort()
-		} else {
-			response.Release()
-		}
+		response.Discard(ctx)
 		exchange.recordOutcome(target, placement.Refused)
 		handler.metrics.CountRetry("target_refused")
 		return nil
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -31,6 +31,7 @@
 	headSent      bool         // the head was sent to the caller
 	lastEvent     string       // ID of the last event passed on
 	events        int          // number of events passed on
+	bytes         int          // size of these events
 	output        bytes.Buffer // data of the events, for turns that are stored
 	retainsOutput bool
 }
@@ -122,6 +123,9 @@
 		if err != nil {
 			return err
 		}
+		if relay.bytes += len(event.raw); relay.bytes > maxResponseBytes {
+			return errResponseTooLarge
+		}
 		readAt := exchange.handler.clock.Now()
 		if !relay.headSent {
 			relay.headSent = true
--- /dev/null
+++ b/internal/gateway/endless_test.go
@@ -0,0 +1,75 @@
+package gateway_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/godwitspread/godwitspread/platform/standin"
+)
+
+// TestEndlessResponses guards against targets that send bytes without end: they must
+// neither use up the memory of a host nor hold a request that another target can
+// serve, and what they send must not look complete.
+func TestEndlessResponses(t *testing.T) {
+	const (
+		acceptedBytes = 24 << 20 // a response of the largest size and the buffers of the sockets; an endless one has 64 MB
+		prompt        = 1300 * time.Millisecond
+		deadline      = 2 * time.Second
+	)
+	tests := []struct {
+		name      string
+		path      string
+		behaviour standin.Behaviour
+		status    int // 0 for a connection that is cut off
+		within    time.Duration
+	}{
+		{"safe request, endless head", "/lookup/a", standin.EndlessHead, 200, prompt},
+		{"unsafe request, endless head", "/filing/a", standin.EndlessHead, 502, prompt},
+		{"stream, endless head", "/summary/a", standin.EndlessHead, 200, prompt},
+		{"safe request, endless body", "/lookup/a", standin.EndlessBody, 200, prompt},
+		{"unsafe request, endless body", "/filing/a", standin.EndlessBody, 502, prompt},
+		{"turn, endless events", "/dialogue/a", standin.EndlessBody, 0, deadline},
+		{"unsafe request, endless refusal", "/filing/a", standin.EndlessRefusal, 200, prompt},
+		{"turn, endless refusal", "/dialogue/a", standin.EndlessRefusal, 200, prompt},
+		{"safe request, endless response to an earlier one", "/lookup/a", standin.EndlessStale, 200, prompt},
+		{"unsafe request, endless response to an earlier one", "/filing/a", standin.EndlessStale, 502, prompt},
+	}
+	fleet := newFleet(t, 1)
+	targets := append(append([]*standin.Target{}, fleet.tools...), fleet.engines...)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			var first atomic.Bool
+			before := int64(0)
+			for _, target := range targets {
+				before += target.SentEndless()
+				target.SetBehaviour(func(standin.Run) standin.Behaviour {
+					if first.CompareAndSwap(false, true) {
+						return test.behaviour
+					}
+					return standin.Normal
+				})
+			}
+			response := fleet.hosts[0].send(testRequest{path: test.path, key: key, body: "text", limit: deadline})
+			time.Sleep(50 * time.Millisecond) // the target notices that its connection is closed
+			sent := -before
+			for _, target := range targets {
+				sent += target.SentEndless()
+			}
+			if response.status != test.status || !response.complete || response.duration > test.within || sent > acceptedBytes {
+				t.Logf("status %d, complete %v, after %v, %d bytes", response.status, response.complete, response.duration, sent)
+			}
+			if test.status == 0 {
+				is.True(!response.complete)
+			} else {
+				is.Equal(response.status, test.status)
+				is.True(response.complete)
+			}
+			is.True(response.duration <= test.within)
+			is.True(sent <= acceptedBytes)
+		})
+	}
+}
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -25,6 +25,9 @@
 	idleTimeoutMargin  = 800 * time.Millisecond // connections are dropped before the target closes them
 	maxStaleResponses  = 4                      // responses to earlier requests that are skipped on a connection
 	readBufferSize     = 4 << 10
+	maxHeadBytes       = 64 << 10               // size limit of the head of a response, including what is buffered of its body
+	maxDiscardBytes    = 64 << 10               // size limit of a body that nobody needs; reading more costs more than a new connection
+	discardTimeout     = 100 * time.Millisecond // for the same
 )
 
 // SendError reports that a target returned no complete response. Sent is true if the
@@ -59,11 +62,39 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
+	readingHead bool
+	headBytes   int       // bytes read since the head of the response began
 	key         string    // ID and address of the target
 	idleSince   time.Time // set while the connection is in the pool
 	idleTimeout time.Duration
 }
 
+var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
+
+// Read implements io.Reader. It limits the bytes read for the head of a response.
+func (connection *conn) Read(buffer []byte) (int, error) {
+	if connection.readingHead && connection.headBytes >= maxHeadBytes {
+		return 0, errHeadTooLarge
+	}
+	count, err := connection.Conn.Read(buffer)
+	connection.headBytes += count
+	return count, err
+}
+
+// readHead reads the head of a response.
+func (connection *conn) readHead(method string) (*http.Response, error) {
+	connection.readingHead, connection.headBytes = true, 0
+	defer func() { connection.readingHead = false }()
+	return http.ReadResponse(connection.reader, &http.Request{Method: method})
+}
+
+// newConn returns a connection to the target with a key.
+func newConn(socket net.Conn, key string) *conn {
+	connection := &conn{Conn: socket, key: key}
+	connection.reader = bufio.NewReaderSize(connection, readBufferSize)
+	return connection
+}
+
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock) *Pool {
 	return &Pool{clock: clock, idle: make(map[string][]*conn)}
@@ -109,7 +140,7 @@
 		return fail(true, err)
 	}
 	for stale := 0; stale <= maxStaleResponses; stale++ {
-		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
+		response, err := connection.readHead(method)
 		if err != nil {
 			return fail(true, err)
 		}
@@ -122,13 +153,22 @@
 			}
 			return &Response{Response: response, pool: pool, conn: connection, stop: stop}, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := discard(response.Body); err != nil {
 			return fail(true, err)
 		}
 	}
 	return fail(true, errors.New("connection delivered only stale responses"))
 }
 
+// discard reads a body that nobody needs.
+func discard(body io.Reader) error {
+	count, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes))
+	if err == nil && count == maxDiscardBytes {
+		err = fmt.Errorf("unneeded body has %d bytes or more", maxDiscardBytes)
+	}
+	return err
+}
+
 // setReadTimeout limits the wait for the next bytes; 0 removes the limit. The end
 // of the context may have set a deadline that this call overwrites, so it
 // returns the error of the context.
@@ -176,6 +216,20 @@
 	response.conn.Close()
 }
 
+// Discard returns the connection to the pool if the rest of the body is short, and
+// closes it otherwise.
+func (response *Response) Discard(ctx context.Context) {
+	if err := response.SetReadTimeout(ctx, discardTimeout); err != nil {
+		response.Abort()
+		return
+	}
+	if err := discard(response.Body); err != nil {
+		response.Abort()
+		return
+	}
+	response.Release()
+}
+
 // SetReadTimeout limits the wait for the next bytes of the body.
 func (response *Response) SetReadTimeout(ctx context.Context, timeout time.Duration) error {
 	return response.pool.setReadTimeout(ctx, response.conn, timeout)
@@ -216,7 +270,7 @@
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
-	return &conn{Conn: socket, reader: bufio.NewReaderSize(socket, readBufferSize), key: key}, nil
+	return newConn(socket, key), nil
 }
 
 // popIdle removes and returns the connection that was used most recently.
--- a/internal/outbound/pool_test.go
+++ b/internal/outbound/pool_test.go
@@ -192,7 +192,9 @@
 			server.Close()
 		}()
 		pool := NewPool(clockwork.NewRealClock())
-		pool.idle["t@a"] = []*conn{{Conn: client, reader: bufio.NewReader(client), key: "t@a", idleSince: time.Now(), idleTimeout: time.Minute}}
+		idle := newConn(client, "t@a")
+		idle.idleSince, idle.idleTimeout = time.Now(), time.Minute
+		pool.idle["t@a"] = []*conn{idle}
 		response, err := pool.Send(context.Background(), "t", "a", http.MethodGet, []byte(requestText), 0, matchesRequest)
 		if err != nil {
 			return
