End streams that only send empty lines or comments

A stalled engine that sent an empty line now and then held a resumable stream until the request's deadline (2.0 s in the test, then cut off after the head), although another engine could go on; a turn with retained context was cut off after a head without events.

An event now ends only after data or an ID; lines before it belong to it, so all bytes are still passed on in order.

The two cases of TestEndlessResponses with such streams fail without the change and pass with it. Sound slow streams: an event has max(0.8 s, six times the longest gap) as before, only where the request may run again, so none is cut for good.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -194,30 +194,38 @@
 	return 1
 }
 
-// event is one complete server-sent event.
+// event is one complete server-sent event. Empty lines and comments before it
+// belong to it.
 type event struct {
 	raw  []byte // bytes as received, with the final blank line
 	id   string
 	data []byte
 }
 
-// readEvent reads up to the blank line that ends an event. It returns io.EOF
+// readEvent reads up to the blank line that ends an event with data or an ID: a
+// stream that only sends empty lines or comments is stalled. It returns io.EOF
 // only at a boundary between events, and io.ErrUnexpectedEOF within an event.
 func readEvent(reader *bufio.Reader) (event, error) {
 	var parsed event
-	firstData := true
+	firstData, complete := true, true
 	for {
 		line, err := readLine(reader, maxEventBytes-len(parsed.raw))
-		parsed.raw = append(parsed.raw, line...)
-		if errors.Is(err, io.EOF) && len(parsed.raw) == 0 {
+		if errors.Is(err, io.EOF) && len(line) == 0 && complete {
+			if len(parsed.raw) > 0 {
+				return parsed, nil
+			}
 			return event{}, io.EOF
 		}
+		parsed.raw = append(parsed.raw, line...)
 		if err != nil {
 			return event{}, unexpectedEOF(err)
 		}
 		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return parsed, nil
+		if complete = len(text) == 0; complete {
+			if !firstData || parsed.id != "" {
+				return parsed, nil
+			}
+			continue
 		}
 		name, value, _ := bytes.Cut(text, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -29,6 +29,9 @@
 		{"reports a stream that ends before the blank line", "id: 1\ndata: a\n", nil, nil, true},
 		{"reads a line longer than the buffer", "id: 1\ndata: " + strings.Repeat("x", 10000) + "\n\n", []string{"1"}, []string{strings.Repeat("x", 10000)}, false},
 		{"reads no event from an empty stream", "", nil, nil, false},
+		{"joins empty lines and comments with the next event", "\n\n: waiting\n\nid: 1\ndata: a\n\n", []string{"1"}, []string{"a"}, false},
+		{"passes on comments at the end", "id: 1\ndata: a\n\n: bye\n\n", []string{"1", ""}, []string{"a", ""}, false},
+		{"reports a stream that ends inside a comment", "id: 1\ndata: a\n\n: by", []string{"1"}, []string{"a"}, true},
 	}
 	for _, test := range tests {
 		is := is.New(t)
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -36,6 +36,8 @@
 		{"turn, endless refusal", "/dialogue/a", standin.EndlessRefusal, 200, prompt},
 		{"safe request, endless response to an earlier one", "/lookup/a", standin.EndlessStale, 200, prompt},
 		{"unsafe request, endless response to an earlier one", "/filing/a", standin.EndlessStale, 502, prompt},
+		{"resumable stream, empty lines now and then", "/summary/a", standin.Trickle, 200, prompt},
+		{"turn, empty lines now and then", "/dialogue/a", standin.Trickle, 504, deadline + 200*time.Millisecond},
 	}
 	fleet := newFleet(t, 1)
 	targets := append(append([]*standin.Target{}, fleet.tools...), fleet.engines...)
