Answer every request that a stopping host has read

During a planned stop under load, callers whose request the host had read got a closed connection instead of an answer, and so did callers that it had just accepted.

Cause, two of one kind: http.Server.Shutdown drops a request that it reads after the shutdown has begun (net/http checks it right after reading the head), and a connection between accept and the HTTP server was left when the server's queue closed. The host now stops by itself: it accepts until no caller has connected for 5 ms (200 ms under load), answers with Connection: close, and ends only connections that await a request; one that has just connected gets a second to send it. Ruled out: resets of connections that were never accepted (the test tells them apart by the listener) and reused ports of callers.

Callers use new and kept connections until the host is gone.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,10 @@
 	defaultIdleTimeout   = 30 * time.Second // until a configuration is applied
 	defaultHeaderBytes   = 16 << 10         // until a configuration is applied
 	acceptRetryDelay     = 20 * time.Millisecond
+	quietInterval        = 5 * time.Millisecond   // without a new connection, after which a stopping host accepts no more
+	lastAcceptWait       = 200 * time.Millisecond // the same for a host that still gets new connections
+	firstRequestWait     = time.Second            // at a planned stop, for callers that have just connected
+	closeIdleInterval    = 5 * time.Millisecond   // at a planned stop
 )
 
 // callerServer accepts the connections of callers. The limits of a new
@@ -28,17 +33,28 @@
 	logger  log.Interface
 	maxOpen int64 // open connections
 
-	listener net.Listener
+	listener deadlineListener
 	open     atomic.Int64
+	stopBy   atomic.Int64  // Unix nanoseconds at which a stopping host accepts no more connections
+	accepted chan struct{} // closed when no further connection is accepted
 
 	mutex   sync.Mutex
 	limits  route.Limits
 	current *queueListener
 	servers []*http.Server
+
+	stopping    atomic.Bool
+	connections map[*callerConnection]struct{}
+}
+
+// deadlineListener is a listener whose Accept can time out.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(time.Time) error
 }
 
 func newCallerServer(handler http.Handler, logger log.Interface, maxOpen int) *callerServer {
-	callerServer := &callerServer{handler: handler, logger: logger, maxOpen: int64(maxOpen)}
+	callerServer := &callerServer{handler: handler, logger: logger, maxOpen: int64(maxOpen), connections: make(map[*callerConnection]struct{})}
 	callerServer.applyLimits(route.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
 	return callerServer
 }
@@ -53,7 +69,7 @@
 	}
 	callerServer.limits = limits
 	server := &http.Server{
-		Handler: callerServer.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
+		Handler: http.HandlerFunc(callerServer.handle), MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout: limits.IdleTimeout, ConnState: callerServer.trackState,
 	}
 	callerServer.current = newQueueListener()
@@ -65,12 +81,36 @@
 	}(callerServer.current)
 }
 
-func (callerServer *callerServer) trackState(_ net.Conn, state http.ConnState) {
-	if state == http.StateClosed || state == http.StateHijacked {
-		callerServer.open.Add(-1)
+// handle passes a request to the handler. While the host is stopping, the
+// connection is closed after the response.
+func (callerServer *callerServer) handle(writer http.ResponseWriter, request *http.Request) {
+	if callerServer.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	callerServer.handler.ServeHTTP(writer, request)
+}
+
+func (callerServer *callerServer) trackState(socket net.Conn, state http.ConnState) {
+	connection, ok := socket.(*callerConnection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		connection.responded()
+	case http.StateClosed, http.StateHijacked:
+		callerServer.forget(connection)
 	}
 }
 
+// forget removes a connection that is closed.
+func (callerServer *callerServer) forget(connection *callerConnection) {
+	callerServer.mutex.Lock()
+	defer callerServer.mutex.Unlock()
+	delete(callerServer.connections, connection)
+	callerServer.open.Add(-1)
+}
+
 // listen opens the address and accepts connections in the background until the
 // listener is closed.
 func (callerServer *callerServer) listen(address string) error {
@@ -78,15 +118,21 @@
 	if err != nil {
 		return err
 	}
-	callerServer.listener = listener
-	go callerServer.accept()
+	callerServer.serve(listener.(*net.TCPListener))
 	return nil
 }
 
+// serve accepts connections in the background.
+func (callerServer *callerServer) serve(listener deadlineListener) {
+	callerServer.listener, callerServer.accepted = listener, make(chan struct{})
+	go callerServer.accept()
+}
+
 func (callerServer *callerServer) accept() {
+	defer close(callerServer.accepted)
 	for {
-		connection, err := callerServer.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		socket, err := callerServer.listener.Accept()
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
@@ -94,22 +140,53 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		callerServer.extendAccept()
 		if callerServer.open.Add(1) > callerServer.maxOpen {
 			callerServer.open.Add(-1)
 			callerServer.logger.WithField("open", callerServer.maxOpen).Warn("limit of caller connections reached; closing a new connection")
-			connection.Close()
+			socket.Close()
 			continue
 		}
+		connection := &callerConnection{Conn: socket, acceptedAt: time.Now()}
 		callerServer.mutex.Lock()
 		current := callerServer.current
+		callerServer.connections[connection] = struct{}{}
 		callerServer.mutex.Unlock()
-		current.connections <- connection
+		select {
+		case current.connections <- connection:
+		case <-current.done:
+			callerServer.forget(connection)
+			connection.Close()
+		}
+	}
+}
+
+// extendAccept lets a stopping host accept the next connection of a series.
+func (callerServer *callerServer) extendAccept() {
+	stopBy := callerServer.stopBy.Load()
+	if stopBy == 0 || time.Now().UnixNano() > stopBy {
+		return
+	}
+	if err := callerServer.listener.SetDeadline(time.Now().Add(quietInterval)); err != nil {
+		callerServer.logger.WithError(err).Warn("accepting the last connections of callers failed")
 	}
 }
 
-// shutdown closes idle connections and waits for requests in flight.
+// shutdown stops accepting connections, serves the requests that callers have
+// sent, and closes the connections between requests. It does not leave this to
+// http.Server.Shutdown, which drops a request that it reads meanwhile.
 func (callerServer *callerServer) shutdown(ctx context.Context) error {
-	err := callerServer.listener.Close()
+	callerServer.stopping.Store(true)
+	callerServer.stopBy.Store(time.Now().Add(lastAcceptWait).UnixNano())
+	err := callerServer.listener.SetDeadline(time.Now().Add(quietInterval))
+	if err == nil {
+		<-callerServer.accepted
+	}
+	err = errors.Join(err, callerServer.listener.Close())
+	for callerServer.open.Load() > 0 && ctx.Err() == nil {
+		callerServer.interruptIdle()
+		time.Sleep(closeIdleInterval)
+	}
 	callerServer.mutex.Lock()
 	servers := callerServer.servers
 	callerServer.mutex.Unlock()
@@ -119,6 +196,16 @@
 	return err
 }
 
+// interruptIdle closes the connections that await a request.
+func (callerServer *callerServer) interruptIdle() {
+	callerServer.mutex.Lock()
+	defer callerServer.mutex.Unlock()
+	for connection := range callerServer.connections {
+		// It fails only for a connection that is already closed.
+		_ = connection.interruptIdle(time.Now())
+	}
+}
+
 // kill closes every connection.
 func (callerServer *callerServer) kill() {
 	// An error makes no difference, because the host is being killed.
--- /dev/null
+++ b/internal/gateway/callers_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/godwitspread/godwitspread/internal/route"
+)
+
+// recordingListener records the callers whose connections were accepted.
+type recordingListener struct {
+	*net.TCPListener
+	accepted sync.Map // by address of the caller
+}
+
+func (listener *recordingListener) Accept() (net.Conn, error) {
+	connection, err := listener.TCPListener.Accept()
+	if err == nil {
+		listener.accepted.Store(connection.RemoteAddr().String(), true)
+	}
+	return connection, err
+}
+
+// callUntilClosed sends requests on a new connection until the host closes it, or a
+// limit is reached. It returns the address of the caller and the number of complete
+// responses.
+func callUntilClosed(address string, limit int) (string, int, error) {
+	socket, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return "", 0, err
+	}
+	defer socket.Close()
+	caller, reader := socket.LocalAddr().String(), bufio.NewReader(socket)
+	if err := socket.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
+		return caller, 0, err
+	}
+	for completed := range limit {
+		if _, err := io.WriteString(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			return caller, completed, nil
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return caller, completed, nil
+		}
+		_, err = io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil {
+			return caller, completed, nil
+		}
+		if response.Close {
+			return caller, completed + 1, nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return caller, limit, nil
+}
+
+// TestStopAnswersAcceptedConnections guards against a planned stop under load that
+// cuts off requests which the host has read, or the first ones on connections which
+// it has just accepted, also while new limits take effect. Callers keep using their
+// connections until the host is gone.
+func TestStopAnswersAcceptedConnections(t *testing.T) {
+	const callers, rounds = 60, 12
+	is := is.New(t)
+	var handled atomic.Int64
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		handled.Add(1)
+		time.Sleep(time.Millisecond)
+		_, _ = io.WriteString(writer, "done")
+	})
+	answered, cut := 0, 0
+	for round := range rounds {
+		server := newCallerServer(handler, &log.Logger{Handler: discard.Default}, 1000)
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		listener := &recordingListener{TCPListener: inner.(*net.TCPListener)}
+		server.serve(listener)
+		var mutex sync.Mutex
+		var calling sync.WaitGroup
+		for number := range callers {
+			calling.Add(1)
+			go func() {
+				defer calling.Done()
+				for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
+					caller, completed, err := callUntilClosed(inner.Addr().String(), 1+number%2*20)
+					if errors.Is(err, syscall.ECONNREFUSED) {
+						return
+					}
+					if err != nil {
+						continue // the listener was closed meanwhile
+					}
+					mutex.Lock()
+					answered += completed
+					if _, accepted := listener.accepted.LoadAndDelete(caller); accepted && completed == 0 {
+						cut++
+					}
+					mutex.Unlock()
+				}
+			}()
+		}
+		time.Sleep(50 * time.Millisecond)
+		server.applyLimits(route.Limits{HeaderBytes: 8192 + round, HeaderTimeout: time.Second, IdleTimeout: time.Second})
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		is.NoErr(server.shutdown(ctx))
+		cancel()
+		server.kill() // the process exits
+		calling.Wait()
+	}
+	t.Logf("%d requests read, %d answered; %d connections accepted and closed without an answer", handled.Load(), answered, cut)
+	is.Equal(int64(answered), handled.Load())
+	is.Equal(cut, 0)
+}
