Skip late errors without an ID on connections in use again

A target that sent a second copy of an answer late, an error without the ID of the attempt, gave the next caller on that connection a failure that was not its own.

Cause: an error response without an ID was taken for the answer to the current request on any connection. It is now only on one that has had no other request, where it cannot belong to another one. Skipped responses are logged and counted (stale_responses); the line was missing. Copies with an ID were skipped before.

TestResponsesOfFaultyTargets failed with the two new cases (500 instead of 200) and passes.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -81,16 +81,22 @@
 }
 
 // send sends the request to a target and returns the head of its response. It
-// skips stale responses, which echo the ID of another attempt.
+// skips stale responses, which echo the ID of another attempt. An error without an
+// ID belongs to the request only if the connection has had no other one.
 func (exchange *exchange) send(ctx context.Context, target placement.Target, lastEvent string) (*outbound.Response, request.Response, error) {
 	if len(exchange.triedTargets) == 0 {
 		exchange.handler.metrics.ObserveLatency("dispatch_delay", exchange.handler.clock.Since(exchange.arrivedAt)-exchange.waitTime)
 	}
 	exchange.triedTargets = append(exchange.triedTargets, target.ID)
 	attempt := exchange.request.Attempt
-	matches := func(status int, header http.Header) bool {
+	matches := func(status int, header http.Header, reused bool) bool {
 		echoed := platform.DecodeResponse(status, header).Attempt
-		return echoed == attempt || echoed == "" && status >= http.StatusBadRequest
+		if echoed == attempt || echoed == "" && status >= http.StatusBadRequest && !reused {
+			return true
+		}
+		exchange.handler.metrics.Count("stale_responses")
+		exchange.handler.logger.WithFields(exchange.logFields()).WithFields(log.Fields{"target": target.ID, "response_status": status, "response_attempt": echoed}).Info("response to another request skipped")
+		return false
 	}
 	response, err := exchange.handler.pool.Send(ctx, target.ID, target.Address, exchange.request.Method, exchange.encodeFor(target, lastEvent), exchange.responseTimeout(), matches)
 	if err != nil {
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -316,14 +316,20 @@
 		{"turn with retained context after a crash", "/dialogue/a", standin.Crash, 502, 1},
 		{"stream resumed in the middle", "/summary/a", standin.Truncate, 200, 2},
 		{"stale response to an earlier request first", "/lookup/a", standin.StaleResponse, 200, 1},
+		{"stale error without an ID first", "/lookup/a", standin.StaleError, 200, 1},
+		{"stale error without an ID before that of an unsafe request", "/filing/a", standin.StaleError, 200, 1},
 	}
 	for _, test := range tests {
+		behaveOnce(standin.Normal)
+		for range 30 { // every target has an idle connection, on which a stale response can arrive
+			is.Equal(host.send(testRequest{path: "/lookup/a", key: key}).status, 200)
+		}
 		behaveOnce(test.behaviour)
 		response := host.send(testRequest{path: test.path, key: key, body: "text", limit: 1500 * time.Millisecond})
 		is.NoErr(response.err)
 		is.Equal(response.status, test.status)                   // test.name
 		is.Equal(len(fleet.runsOf(response.attempt)), test.runs) // test.name
-		if test.behaviour == standin.StaleResponse {
+		if test.behaviour == standin.StaleResponse || test.behaviour == standin.StaleError {
 			is.Equal(response.body, response.attempt)
 		}
 		if test.status == 200 && strings.HasPrefix(test.path, "/summary") {
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -62,6 +62,7 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
+	reused      bool // an earlier request was sent on the connection
 	readingHead bool
 	headBytes   int       // bytes read since the head of the response began
 	key         string    // ID and address of the target
@@ -118,8 +119,9 @@
 
 // Send writes a request and reads the head of its response. A positive timeout
 // limits the wait for the head. The end of the context interrupts the exchange.
-// Send skips stale responses, those for which matches returns false.
-func (pool *Pool) Send(ctx context.Context, id, address, method string, message []byte, timeout time.Duration, matches func(status int, header http.Header) bool) (*Response, error) {
+// Send skips stale responses, those for which matches returns false; on a reused
+// connection, the response to an earlier request may arrive first.
+func (pool *Pool) Send(ctx context.Context, id, address, method string, message []byte, timeout time.Duration, matches func(status int, header http.Header, reused bool) bool) (*Response, error) {
 	connection, err := pool.acquire(ctx, id, address)
 	if err != nil {
 		return nil, &SendError{Err: err}
@@ -147,7 +149,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if matches(response.StatusCode, response.Header) {
+		if matches(response.StatusCode, response.Header, connection.reused) {
 			if err := pool.setReadTimeout(ctx, connection, 0); err != nil {
 				return fail(true, err)
 			}
@@ -201,6 +203,7 @@
 		response.conn.Close()
 		return
 	}
+	response.conn.reused = true
 	response.conn.idleTimeout = keepAliveTimeout(response.Header)
 	response.pool.release(response.conn)
 }
--- a/internal/outbound/pool_test.go
+++ b/internal/outbound/pool_test.go
@@ -60,7 +60,7 @@
 )
 
 // matchesRequest reports whether a response belongs to the request of the test.
-func matchesRequest(_ int, header http.Header) bool { return header.Get("X-For") == "mine" }
+func matchesRequest(_ int, header http.Header, _ bool) bool { return header.Get("X-For") == "mine" }
 
 // exchange sends a request and returns the body of its response.
 func exchange(pool *Pool, address string) (string, error) {
