Fail a malformed call or record instead of the whole process

One call of another host with a window of -1 h or of centuries, or any call that makes its handler panic, ended the process of the host that served it, and with it all requests in flight there. A record of the store that makes its reader panic ended every host, again after each restart.

Cause: handlers of peer calls and readers of topics run on goroutines of their own, where nothing recovers a panic, and the coordinator of a workspace built a window of whatever length the call named. A panic now fails the call (internal, may have run) or skips the records, with an error line and its stack; limits that cannot be enforced are refused and counted (malformed_admission_requests). HTTP handlers were recovered by net/http already.

TestHandlerPanic, TestApplyPanic and TestMalformedAdmissionRequest ended their test process before and pass now.

--- a/internal/bench/slopes_measurements.go
+++ b/internal/bench/slopes_measurements.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/godwitspread/godwitspread/internal/codec"
@@ -269,7 +271,8 @@
 // Both hosts run in this process.
 func relaySlope() (slope, error) {
 	result := slope{Name: "relay: processor of a token, both ends of a hop", Unit: "us"}
-	server := peer.NewTransport("b", "b-1", "secret-secret-secret", clockwork.NewRealClock(), func(_ context.Context, request peer.Request, send func(any) error) error {
+	logger := &log.Logger{Handler: discard.Default}
+	server := peer.NewTransport("b", "b-1", "secret-secret-secret", clockwork.NewRealClock(), logger, func(_ context.Context, request peer.Request, send func(any) error) error {
 		var count int
 		if err := request.Decode(&count); err != nil {
 			return err
@@ -285,7 +288,7 @@
 		return result, err
 	}
 	defer server.Close()
-	caller := peer.NewTransport("a", "a-1", "secret-secret-secret", clockwork.NewRealClock(), nil)
+	caller := peer.NewTransport("a", "a-1", "secret-secret-secret", clockwork.NewRealClock(), logger, nil)
 	defer caller.Close()
 	for _, count := range []int{500, 1000, 2000} {
 		var callErr error
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,9 +103,9 @@
 
 // newNetwork returns the network without the components that depend on it. Their
 // constructors add them to the network.
-func newNetwork(self host.Heartbeat, settings Settings, clock clockwork.Clock, metrics *metric.Metrics, follower *configuration.Follower) (*network, *handlers, *peer.Transport) {
+func newNetwork(self host.Heartbeat, settings Settings, clock clockwork.Clock, metrics *metric.Metrics, logger log.Interface, follower *configuration.Follower) (*network, *handlers, *peer.Transport) {
 	handlers := &handlers{follower: follower}
-	transport := peer.NewTransport(self.Name, self.Incarnation, settings.PeerSecret, clock, handlers.handle)
+	transport := peer.NewTransport(self.Name, self.Incarnation, settings.PeerSecret, clock, logger, handlers.handle)
 	network := &network{self: self, metrics: metrics, transport: transport, follower: follower, forwardedPermits: newForwardedPermits()}
 	handlers.network = network
 	return network, handlers, transport
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,7 +124,7 @@
 		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), Reachable: gateway.store.Reachable,
 		StoreLimits: history.StoreLimits{RecordBytes: settings.Store.MaxRecordBytes, AppendBytes: settings.Store.MaxAppendBytes},
 	})
-	gateway.transport = peer.NewTransport(settings.Host, gateway.self.Incarnation, settings.PeerSecret, clock, gateway.mesh.Handler(mesh.Operations{
+	gateway.transport = peer.NewTransport(settings.Host, gateway.self.Incarnation, settings.PeerSecret, clock, logger, gateway.mesh.Handler(mesh.Operations{
 		Store: gateway.directStore, Chain: gateway.histories.CachedChain, Push: gateway.histories.CacheTurns,
 		Release: gateway.allocator.Release, Reserve: gateway.reserver.HandleReserve, Settle: gateway.reserver.HandleSettle, DecideAdmission: gateway.limiter.Serve, ProgramStarted: gateway.reserver.Started,
 		GrantPermit: gateway.targetLimiter.Serve,
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/godwitspread/godwitspread/internal/codec"
@@ -53,6 +55,7 @@
 type connection struct {
 	socket            net.Conn
 	clock             clockwork.Clock
+	logger            log.Interface
 	handler           Handler
 	remote            hello
 	outgoing          chan frame
@@ -66,9 +69,9 @@
 	serving map[uint64]context.CancelFunc
 }
 
-func newConnection(socket net.Conn, clock clockwork.Clock, handler Handler) *connection {
+func newConnection(socket net.Conn, clock clockwork.Clock, logger log.Interface, handler Handler) *connection {
 	return &connection{
-		socket: socket, clock: clock, handler: handler, outgoing: make(chan frame, outgoingQueueFrames), done: make(chan struct{}),
+		socket: socket, clock: clock, logger: logger, handler: handler, outgoing: make(chan frame, outgoingQueueFrames), done: make(chan struct{}),
 		calls: make(map[uint64]chan frame), serving: make(map[uint64]context.CancelFunc),
 	}
 }
@@ -256,7 +259,7 @@
 		defer cancel()
 		end := frame{Stream: message.Stream, Kind: kindEnd}
 		request := Request{Method: message.Method, Host: connection.remote.Host, payload: message.Payload}
-		if err := connection.handler(ctx, request, connection.sender(ctx, message.Stream)); err != nil {
+		if err := connection.handle(ctx, request, connection.sender(ctx, message.Stream)); err != nil {
 			end.Refusal = refusal.From(err)
 		}
 		connection.mutex.Lock()
@@ -267,6 +270,18 @@
 	}()
 }
 
+// handle runs the handler. A panic fails the call, whose content has caused it, and
+// not the process.
+func (connection *connection) handle(ctx context.Context, request Request, send func(any) error) (err error) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			connection.logger.WithFields(log.Fields{"method": request.Method, "peer": request.Host, "panic": fmt.Sprint(recovered), "stack": string(debug.Stack())}).Error("call of another host made its handler panic")
+			err = refusal.New(refusal.Internal, "handler of %q panicked: %v", request.Method, recovered).WithRun(refusal.RunUnknown)
+		}
+	}()
+	return connection.handler(ctx, request, send)
+}
+
 func (connection *connection) sender(ctx context.Context, stream uint64) func(any) error {
 	return func(value any) error {
 		payload, err := codec.Marshal(value)
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
@@ -42,11 +44,13 @@
 	})
 }
 
+var discardLogger = &log.Logger{Handler: discard.Default}
+
 // newTransports returns two transports, of which the second listens.
 func newTransports(t *testing.T, handler Handler) (*Transport, *Transport) {
 	t.Helper()
-	caller := NewTransport("a", "a-1", "secret", clockwork.NewRealClock(), handler)
-	server := NewTransport("b", "b-1", "secret", clockwork.NewRealClock(), handler)
+	caller := NewTransport("a", "a-1", "secret", clockwork.NewRealClock(), discardLogger, handler)
+	server := NewTransport("b", "b-1", "secret", clockwork.NewRealClock(), discardLogger, handler)
 	if err := server.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -92,6 +96,25 @@
 	<-cancelled // the cancellation reached the handler
 }
 
+// TestHandlerPanic guards against a call whose content makes its handler panic and
+// ends the process of the host that serves it, and with it all other calls.
+func TestHandlerPanic(t *testing.T) {
+	is := is.New(t)
+	caller, server := newTransports(t, func(_ context.Context, request Request, send func(any) error) error {
+		if request.Method == "panic" {
+			panic("index out of range")
+		}
+		return send("done")
+	})
+	var refused *refusal.Refusal
+	is.True(errors.As(caller.Call(context.Background(), server.Address(), "panic", nil, nil), &refused))
+	is.Equal(refused.Code, refusal.Internal)
+	is.Equal(refused.Run, refusal.RunUnknown)
+	var response string
+	is.NoErr(caller.Ask(context.Background(), server.Address(), "echo", nil, &response))
+	is.Equal(response, "done")
+}
+
 // TestUnresponsiveConnection guards against calls that wait forever on a connection
 // that delivers nothing and is not closed, as during a network partition. The call
 // must fail, and the next call must use a new connection.
@@ -121,7 +144,7 @@
 func TestWrongSecret(t *testing.T) {
 	is := is.New(t)
 	_, server := newTransports(t, nil)
-	intruder := NewTransport("c", "c-1", "other", clockwork.NewRealClock(), nil)
+	intruder := NewTransport("c", "c-1", "other", clockwork.NewRealClock(), discardLogger, nil)
 	defer intruder.Close()
 	err := intruder.Call(context.Background(), server.Address(), "count", nil, nil)
 	is.True(errors.Is(err, ErrConnection))
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -17,6 +18,7 @@
 	local    hello
 	clock    clockwork.Clock
 	handler  Handler
+	logger   log.Interface
 	listener net.Listener
 	rejected atomic.Int64
 
@@ -30,11 +32,12 @@
 
 // NewTransport returns a transport for a host. All hosts must have the same
 // secret. The handler serves the calls of other hosts.
-func NewTransport(host, incarnation, secret string, clock clockwork.Clock, handler Handler) *Transport {
+func NewTransport(host, incarnation, secret string, clock clockwork.Clock, logger log.Interface, handler Handler) *Transport {
 	return &Transport{
 		local:    hello{Host: host, Incarnation: incarnation, Secret: secret},
 		clock:    clock,
 		handler:  handler,
+		logger:   logger,
 		dialed:   make(map[string]*connection),
 		accepted: make(map[*connection]struct{}),
 	}
@@ -72,7 +75,7 @@
 }
 
 func (transport *Transport) serveConnection(socket net.Conn) {
-	connection := newConnection(socket, transport.clock, transport.handler)
+	connection := newConnection(socket, transport.clock, transport.logger, transport.handler)
 	if err := connection.handshake(transport.local); err != nil {
 		transport.rejected.Add(1)
 		socket.Close()
@@ -129,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	connection := newConnection(socket, transport.clock, transport.handler)
+	connection := newConnection(socket, transport.clock, transport.logger, transport.handler)
 	if err := connection.handshake(transport.local); err != nil {
 		socket.Close()
 		return nil, err
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limit is the rate limit of a workspace across all hosts: no interval of the
 // window's length admits more requests than the rate allows in that time plus
@@ -37,6 +40,19 @@
 	}
 }
 
+// maxWindow bounds the memory of an account.
+const maxWindow = 10 * time.Minute
+
+// valid reports whether the limit of another host's request can be enforced.
+func (limit Limit) valid() bool {
+	for _, value := range []float64{limit.Rate, limit.Burst, limit.Reserve} {
+		if !(value >= 0 && value <= math.MaxInt32) {
+			return false
+		}
+	}
+	return limit.Window >= slotDuration && limit.Window <= maxWindow
+}
+
 // capacity returns the number of requests that the limit allows in a window.
 func (limit Limit) capacity() float64 { return limit.Rate*limit.Window.Seconds() + limit.Burst }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -106,6 +106,10 @@
 	if _, self := limiter.coordinators.Coordinator(request.Workspace); !self {
 		return AdmissionResponse{NotCoordinator: true}
 	}
+	if !request.Limit.valid() {
+		limiter.metrics.Count("malformed_admission_requests")
+		return AdmissionResponse{RetryAfter: maxRetryAfter}
+	}
 	reachable, _ := limiter.coordinators.ReachableShare()
 	return limiter.serve(limiter.accounts, request, reachable)
 }
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sort"
 	"testing"
@@ -150,3 +151,30 @@
 	is.Equal(other.limiter.Serve(request), AdmissionResponse{NotCoordinator: true})
 	is.Equal(len(other.limiter.accounts), 0)
 }
+
+// TestMalformedAdmissionRequest guards against a request of another host whose limit
+// ends the process of the coordinator or uses up its memory.
+func TestMalformedAdmissionRequest(t *testing.T) {
+	valid := Limit{Rate: 10, Burst: 10, Window: 5 * time.Second}
+	tests := []struct {
+		name  string
+		limit Limit
+	}{
+		{"negative window", Limit{Rate: 10, Burst: 10, Window: -time.Hour}},
+		{"no window", Limit{Rate: 10, Burst: 10}},
+		{"window of centuries", Limit{Rate: 10, Burst: 10, Window: math.MaxInt64}},
+		{"rate is not a number", Limit{Rate: math.NaN(), Burst: 10, Window: 5 * time.Second}},
+		{"infinite burst", Limit{Rate: 10, Burst: math.Inf(1), Window: 5 * time.Second}},
+		{"negative reserve", Limit{Rate: 10, Burst: 10, Window: 5 * time.Second, Reserve: -1}},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		fleet := newFleet(t, 1)
+		limiter := fleet.hosts[0].limiter
+		is.True(!limiter.Serve(AdmissionRequest{Workspace: "w", Limit: test.limit}).Admitted) // test.name
+		fleet.clock.Advance(time.Minute)
+		is.True(limiter.Serve(AdmissionRequest{Workspace: "w", Limit: valid}).Admitted) // test.name
+		is.True(!limiter.Serve(AdmissionRequest{Workspace: "w", Limit: test.limit}).Admitted)
+		is.True(limiter.Serve(AdmissionRequest{Workspace: "w", Limit: valid}).Admitted)
+	}
+}
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,7 +107,7 @@
 	if err != nil {
 		return -1, err
 	}
-	follower.Apply(records, true)
+	follower.apply(records, true)
 	return end, nil
 }
 
@@ -123,6 +125,19 @@
 	if err != nil {
 		return from, err
 	}
-	follower.Apply(page.Records, false)
+	follower.apply(page.Records, false)
 	return page.Next, nil
 }
+
+// apply applies records. A panic skips them: every host would read them again after
+// a restart.
+func (follower *Follower) apply(records []Record, complete bool) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			follower.Logger.WithFields(log.Fields{
+				"topic": follower.Topic, "records": len(records), "panic": fmt.Sprint(recovered), "stack": string(debug.Stack()),
+			}).Error("records of the store could not be applied; skipping them")
+		}
+	}()
+	follower.Apply(records, complete)
+}
--- /dev/null
+++ b/internal/store/follower_test.go
@@ -0,0 +1,53 @@
+package store
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+// listingStore is a store with one record in each topic.
+type listingStore struct{ Store }
+
+func (listingStore) List(context.Context, List) (Listing, error) {
+	return Listing{Records: []Record{{Key: "k", Value: []byte("odd")}}, End: 1}, nil
+}
+
+func (listingStore) Read(_ context.Context, read Read) (Page, error) {
+	return Page{Next: read.From, End: read.From}, nil
+}
+
+// TestApplyPanic guards against a record of the store whose content ends the
+// process: every host reads it again after its restart.
+func TestApplyPanic(t *testing.T) {
+	is := is.New(t)
+	lines := memory.New()
+	var applied atomic.Int64
+	follower := &Follower{
+		Store: listingStore{}, Clock: clockwork.NewRealClock(), Logger: &log.Logger{Handler: lines, Level: log.InfoLevel}, Topic: "t", ReadInterval: time.Millisecond,
+		Apply: func(records []Record, _ bool) {
+			applied.Add(1)
+			if len(records) > 0 {
+				panic("index out of range")
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	for end := time.Now().Add(2 * time.Second); applied.Load() < 3 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	cancel()
+	<-done
+	is.True(applied.Load() >= 3) // later records are applied
+	is.Equal(lines.Entries[0].Level, log.ErrorLevel)
+}
