End requests of callers that take no more bytes at their deadline

A caller that stopped reading held its request, its connection to the target and a part of the host's memory until the connection broke, and a planned stop waited for it until the grace period was over.

Cause: the deadline of a request interrupts reads from the target, but not a write to the caller. Writes have the deadline of the request now, and half a second for an error response; the server's own bound is 30 s.

A permit is also granted for at most 1 s ahead, whatever another host asks for (TestPermitWithoutValidLimit).

--- a/internal/capacity/limiter.go
+++ b/internal/capacity/limiter.go
@@ -22,6 +22,7 @@
 
 const (
 	bucketIdleTimeout = time.Minute // after which an unused bucket is evicted
+	maxAhead          = time.Second // longest delay for which a permit is granted
 	// fallbackShare is the fraction of a single host's share of the limit that
 	// it grants without the coordinator, which may still grant the whole limit
 	// because it has not yet detected that this host is isolated.
@@ -100,6 +101,7 @@
 	if !validRate(request.Rate) {
 		request.Rate = 0
 	}
+	request.MaxDelay = min(request.MaxDelay, maxAhead)
 	reachable, _ := limiter.coordinators.ReachableShare()
 	return limiter.take(limiter.buckets, request, reachable)
 }
--- a/internal/capacity/limiter_test.go
+++ b/internal/capacity/limiter_test.go
@@ -296,6 +296,12 @@
 		is.True(limiter.Serve(PermitRequest{Target: "target", Rate: rate}).Granted)
 		is.True(!limiter.Serve(PermitRequest{Target: "target", Rate: rate}).Granted)
 	}
+	is := is.New(t)
+	limiter := newFleet(1).hosts[0].limiter
+	for range 20 {
+		limiter.Serve(PermitRequest{Target: "target", Rate: 10, MaxDelay: math.MaxInt64})
+	}
+	is.True(limiter.Serve(PermitRequest{Target: "target", Rate: 10}).RetryAfter <= maxAhead+100*time.Millisecond)
 }
 
 // TestNoPermitNeeded checks that targets without a limit cost no call to another
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -24,6 +24,10 @@
 	"github.com/godwitspread/godwitspread/platform"
 )
 
+// writeMargin is the time after the deadline of a request in which its caller may
+// still receive an error response.
+const writeMargin = 500 * time.Millisecond
+
 // Configuration provides the version of the configuration that is in force.
 type Configuration interface {
 	// Table returns nil until the first version is known.
@@ -146,6 +150,11 @@
 	}
 	ctx, cancel := context.WithDeadline(incoming.Context(), exchange.deadline)
 	defer cancel()
+	// The end of the context does not interrupt a write to the caller.
+	if err := http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(exchange.timeLeft() + writeMargin)); err != nil {
+		exchange.writeRejection(newRejection(http.StatusServiceUnavailable, "connection_lost").withCause(err))
+		return
+	}
 	var rejection *rejection
 	if exchange.route.Kind == route.Streaming {
 		rejection = exchange.serveStream(ctx)
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -19,6 +19,7 @@
 	defaultHeaderTimeout = 3 * time.Second  // until a configuration is applied
 	defaultIdleTimeout   = 30 * time.Second // until a configuration is applied
 	defaultHeaderBytes   = 16 << 10         // until a configuration is applied
+	defaultWriteTimeout  = 30 * time.Second // of a response, from the head of its request; the handler sets a shorter one
 	acceptRetryDelay     = 20 * time.Millisecond
 	quietInterval        = 5 * time.Millisecond   // without a new connection, after which a stopping host accepts no more
 	lastAcceptWait       = 200 * time.Millisecond // the same for a host that still gets new connections
@@ -70,7 +71,7 @@
 	callerServer.limits = limits
 	server := &http.Server{
 		Handler: http.HandlerFunc(callerServer.handle), MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout: limits.IdleTimeout, ConnState: callerServer.trackState,
+		WriteTimeout: defaultWriteTimeout, IdleTimeout: limits.IdleTimeout, ConnState: callerServer.trackState,
 	}
 	callerServer.current = newQueueListener()
 	callerServer.servers = append(callerServer.servers, server)
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"fmt"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,3 +77,21 @@
 		})
 	}
 }
+
+// TestCallerThatStopsReading guards against a caller that takes no more bytes and
+// holds its request, and the target that serves it, beyond its deadline.
+func TestCallerThatStopsReading(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 1)
+	for _, target := range fleet.engines {
+		target.SetBehaviour(func(standin.Run) standin.Behaviour { return standin.EndlessBody })
+	}
+	socket, err := net.Dial("tcp", fleet.hosts[0].settings.CallerAddress)
+	is.NoErr(err)
+	defer socket.Close()
+	is.NoErr(socket.(*net.TCPConn).SetReadBuffer(4096))
+	_, err = fmt.Fprintf(socket, "POST /dialogue/a HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nGodwitspread-Attempt-Id: stalled\r\nGodwitspread-Deadline-Ms: 1000\r\nContent-Length: 4\r\n\r\ntext", hostName, key)
+	is.NoErr(err)
+	fleet.eventually(time.Second, "the request is in flight", func() bool { return fleet.hosts[0].Status().RequestsInFlight == 1 })
+	fleet.eventually(2*time.Second, "the request ends", func() bool { return fleet.hosts[0].Status().RequestsInFlight == 0 })
+}
