Do not say of a turn without output that it has not run

A turn whose engine ran it without any event, and which could not be made durable afterwards, was answered 503, which promises that it has not run; the caller may send it again. Its workspace got the request back as well.

Cause: the turn was stored before the check for an empty stream, and the failure had the status of one found before the send. The check comes first and both failures are 502. Ruled out elsewhere: all other refusals with 503 or 429 come before the first send or follow a target's own word.

TestTurnThatRanIsNotRefused failed before (503) and passes.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -167,19 +167,20 @@
 // before the caller sees the end of the stream.
 func (relay *relay) complete(ctx context.Context) *rejection {
 	exchange := relay.exchange
+	if !relay.headSent {
+		// Every valid stream has at least one event, so an empty one is an error.
+		exchange.possibleRuns++
+		return newRejection(http.StatusBadGateway, "empty_stream")
+	}
 	if relay.retainsOutput {
 		turn := history.Turn{
 			ID: exchange.request.Attempt, Previous: exchange.request.PreviousTurn, Workspace: exchange.workspaceName(),
 			Input: exchange.request.Body, Output: relay.output.Bytes(), Retention: exchange.route.Retention,
 		}
 		if err := exchange.handler.turnHistory.Save(ctx, exchange.request.Program, turn); err != nil {
-			return relay.fail(newRejection(http.StatusServiceUnavailable, "history_not_durable").withCause(err))
+			return relay.fail(newRejection(http.StatusBadGateway, "history_not_durable").withCause(err))
 		}
 	}
-	if !relay.headSent {
-		// Every valid stream has at least one event, so an empty one is an error.
-		return newRejection(http.StatusBadGateway, "empty_stream")
-	}
 	exchange.recordServed(log.Fields{"status": http.StatusOK, "events": relay.events})
 	return nil
 }
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -154,3 +154,19 @@
 	is.Equal(response.status, 200)
 	is.True(!response.complete)
 }
+
+// TestTurnThatRanIsNotRefused guards against telling the caller that a turn has not
+// run, because it could not be made durable after it had run without any output.
+func TestTurnThatRanIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 1)
+	for _, engine := range fleet.engines {
+		engine.SetBehaviour(func(standin.Run) standin.Behaviour {
+			fleet.store.SetFault(func(string, string) standin.Fault { return standin.Busy })
+			return standin.EmptyStream
+		})
+	}
+	response := fleet.hosts[0].send(testRequest{path: "/dialogue/a", key: key, body: "x", limit: time.Second})
+	is.Equal(len(fleet.runsOf(response.attempt)), 1)
+	is.True(response.status == 502 || response.status == 504) // 503 promises that it has not run
+}
