Take a target for crashed only if it refuses connections

A target that was only cut off or slow to accept for 0.3 s, after it had lost a response, was taken for crashed; two of these quarantined a sound request for five minutes on every host.

Cause: any failure to connect counted, also a timeout. Only a refused connection does now: it shows that the process has ended. A request that crashes targets is still quarantined (TestRequestThatCrashesTargets).

TestRefuses fails with the old rule (no response).

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -160,12 +160,12 @@
 }
 
 // recordLostResponse logs that a target returned no complete response. If the
-// target no longer accepts connections and the cause is not a timeout, the
+// target now refuses connections and the cause is not a timeout, the
 // request is recorded as a possible cause of a crash.
 func (exchange *exchange) recordLostResponse(ctx context.Context, target placement.Target, err error) {
 	handler := exchange.handler
 	var netError net.Error
-	crashed := !(errors.As(err, &netError) && netError.Timeout()) && !handler.pool.Listens(ctx, target.Address)
+	crashed := !(errors.As(err, &netError) && netError.Timeout()) && handler.pool.Refuses(ctx, target.Address)
 	if crashed {
 		handler.crashTracker.RecordCrash(exchange.digest, handler.clock.Now())
 		handler.metrics.Count("target_crashes")
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -185,15 +185,16 @@
 	return ctx.Err()
 }
 
-// Listens reports whether a target accepts connections.
-func (pool *Pool) Listens(ctx context.Context, address string) bool {
+// Refuses reports whether a target refuses connections, because its process has
+// ended. A target that does not respond may only be cut off.
+func (pool *Pool) Refuses(ctx context.Context, address string) bool {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	socket, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	socket.Close()
-	return true
+	return false
 }
 
 // Release returns the connection to the pool, or closes it if it cannot be
--- a/internal/outbound/pool_test.go
+++ b/internal/outbound/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -206,3 +207,27 @@
 		response.Abort()
 	})
 }
+
+// TestRefuses guards against taking a target that only does not respond for one
+// that has crashed: the request that it was running would be quarantined.
+func TestRefuses(t *testing.T) {
+	is := is.New(t)
+	pool := NewPool(clockwork.NewRealClock())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.True(!pool.Refuses(context.Background(), address))
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Control(func(descriptor uintptr) { err = syscall.Listen(int(descriptor), 0) }))
+	is.NoErr(err)
+	for full := false; !full; { // connections that nobody accepts fill the queue of the listener
+		socket, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if full = err != nil; !full {
+			defer socket.Close()
+		}
+	}
+	is.True(!pool.Refuses(context.Background(), address)) // no response
+	listener.Close()
+	is.True(pool.Refuses(context.Background(), address))
+}
