Do not refuse active programs because a coordinator responds slowly

While the engines were overloaded, a turn of an active program could be answered 503 (targets_crowded) and the program given up: the host that knows that it has started sat in another data centre and took more than 60 ms to say so.

Cause: an error or a late response counted as "not started". It counts as started now, with a line; a program that is begun too many costs less than an active one that is given up. Hosts that are not reachable are not asked, as before.

TestSlowCoordinator failed before (slow coordinator) and passes.

--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -299,7 +299,8 @@
 }
 
 // Started implements budget.Coordinators. It asks the program's coordinators in
-// the other data centres whether the program has started.
+// the other data centres whether the program has started. One that does not respond
+// in time may know it, so the program counts as started.
 func (mesh *Mesh) Started(ctx context.Context, program string) bool {
 	ctx, cancel := context.WithTimeout(ctx, coordinatorTimeout)
 	defer cancel()
@@ -310,7 +311,8 @@
 		go func() {
 			var response startedResponse
 			if err := mesh.transport.Ask(ctx, coordinator.Address, methodStarted, startedRequest{program}, &response); err != nil {
-				mesh.logger.WithError(err).WithField("peer", coordinator.Host).Debug("asking a coordinator whether a program has started failed")
+				mesh.logger.WithError(err).WithFields(log.Fields{"peer": coordinator.Host, "program": program}).Info("coordinator did not say whether a program has started; admitting it")
+				response.Started = true
 			}
 			responses <- response.Started
 		}()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
 
@@ -149,3 +150,37 @@
 	is.NoErr(response.err())
 	is.Equal(response.Offset, int64(7))
 }
+
+// TestSlowCoordinator guards against refusing an active program as one that has not
+// started, because the host that knows it only responds slowly.
+func TestSlowCoordinator(t *testing.T) {
+	tests := []struct {
+		name    string
+		delay   time.Duration
+		started bool // as the coordinator says
+		counted bool // as started
+	}{
+		{"coordinator knows the program", 0, true, true},
+		{"coordinator does not know the program", 0, false, false},
+		{"coordinator is slow", 2 * coordinatorTimeout, false, true},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.Default}
+		remote := newTestMesh(clock, "b1", "b")
+		server := peer.NewTransport("b1", "b1/1", "secret", clock, logger, remote.Handler(Operations{ProgramStarted: func(string) bool {
+			time.Sleep(test.delay)
+			return test.started
+		}}))
+		is.NoErr(server.Listen("127.0.0.1:0"))
+		local := newTestMesh(clock, "a1", "a")
+		transport := peer.NewTransport("a1", "a1/1", "secret", clock, logger, local.Handler(Operations{}))
+		local.SetTransport(transport)
+		status := statusOf("b1", "b")
+		status.Member.Address = server.Address()
+		local.ObserveStatus(status)
+		is.Equal(local.Started(context.Background(), "p"), test.counted) // test.name
+		is.NoErr(transport.Close())
+		is.NoErr(server.Close())
+	}
+}
