Let the callers of TestLostStoreResponses return when a refusal says

Cause: its callers came back at once after each refusal. A host that counts the store as lost refuses in 1 ms with Retry-After: 1, and probes the store again after 0.5 s, so a row of such refusals used up the 14 turns. Real callers wait as long as a refusal says, and so do those of the test now.

--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -100,9 +101,9 @@
 	}
 }
 
-// TestLostStoreResponses guards against allocating a budget twice or storing a turn
-// twice: a write to the store is retried although it has succeeded, because its
-// response was lost.
+// TestLostStoreResponses guards against allocating a budget twice, storing a turn
+// twice or losing a part of a budget: a write to the store is retried although it has
+// succeeded, because its response was lost. Callers return when a refusal says.
 func TestLostStoreResponses(t *testing.T) {
 	for _, fault := range []standin.Fault{standin.ResponseLost, standin.DelayedLost} {
 		is := is.New(t)
@@ -127,15 +128,28 @@
 				}
 			case 402, 503:
 				is.Equal(len(fleet.runsOf(response.attempt)), 0)
+				response.awaitRetry(is)
 			default:
 				t.Fatalf("got status %d (%s), want 200, 402 or 503", response.status, response.body)
 			}
 		}
+		t.Logf("%d of 500 tokens spent", spent)
 		is.True(spent <= 500)
-		is.True(spent >= 300)
+		is.True(spent >= 450) // the rest is less than a turn
 	}
 }
 
+// awaitRetry waits as long as a refusal asks the caller to.
+func (response testResponse) awaitRetry(is *is.I) {
+	text := response.header.Get("Retry-After")
+	if text == "" {
+		return
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	is.NoErr(err)
+	time.Sleep(time.Duration(seconds * float64(time.Second)))
+}
+
 // TestStoreLostDuringTurn guards against a complete response to a turn that is not
 // durable, because an outage of the store began while the turn ran.
 func TestStoreLostDuringTurn(t *testing.T) {
