Test what mutants of the request limits and of the stop survived

Left: the gateway's call of Leave, which a limit of 1.5 times tolerates (TestTargetCoordinator tests what it does).

--- a/internal/capacity/limiter_test.go
+++ b/internal/capacity/limiter_test.go
@@ -167,6 +167,7 @@
 // target while its coordinator is lost, leaves, restarts or is cut off, even if
 // the requests of the host concerned count.
 func TestLimitDuringFaults(t *testing.T) {
+	const hostRate = 30.0 // requests a second that each host wants to send
 	faults := []struct {
 		name  string
 		apply func(*fleet, *fleetHost)
@@ -196,21 +197,21 @@
 				fleet := newFleet(size)
 				target := &fleetTarget{rate: rate, limited: true}
 				named := fleet.clock.Now()
-				fleet.run(target, 4*time.Second, 10, 0)
+				fleet.run(target, 4*time.Second, hostRate, 0)
 				for _, host := range fleet.hosts {
 					if _, self := host.TargetCoordinator("target"); self {
 						fault.apply(fleet, host)
 						break
 					}
 				}
-				fleet.run(target, 5*time.Second, 10, 0)
+				fleet.run(target, 5*time.Second, hostRate, 0)
 				for _, host := range fleet.hosts {
 					host.partition = 0
 					if host.down {
 						host.start()
 					}
 				}
-				fleet.run(target, 5*time.Second, 10, 0)
+				fleet.run(target, 5*time.Second, hostRate, 0)
 				most, tolerated := target.mostInWindow(named.Add(3*time.Second)), int(ruleFactor*rate*ruleWindow.Seconds()+ruleSlack)
 				if most > tolerated {
 					t.Logf("%s, %g/s, %d hosts: %d requests in a window, %d tolerated", fault.name, rate, size, most, tolerated)
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -123,3 +123,31 @@
 	is.Equal(int64(answered), handled.Load())
 	is.Equal(cut, 0)
 }
+
+// TestStopClosesIdleConnections guards against a planned stop that waits for callers
+// which send nothing more, or nothing at all.
+func TestStopClosesIdleConnections(t *testing.T) {
+	is := is.New(t)
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "done") })
+	server := newCallerServer(handler, &log.Logger{Handler: discard.Default}, 1000)
+	is.NoErr(server.listen("127.0.0.1:0"))
+	for requests := range 3 {
+		socket, err := net.Dial("tcp", server.listener.Addr().String())
+		is.NoErr(err)
+		defer socket.Close()
+		reader := bufio.NewReader(socket)
+		for range requests {
+			_, err := io.WriteString(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			response, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			_, err = io.ReadAll(response.Body)
+			is.NoErr(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	start := time.Now()
+	is.NoErr(server.shutdown(ctx))
+	is.True(time.Since(start) < firstRequestWait+500*time.Millisecond)
+}
--- a/internal/gateway/target_limit_test.go
+++ b/internal/gateway/target_limit_test.go
@@ -114,6 +114,10 @@
 			for _, response := range responses {
 				is.Equal(response.status, 200)
 			}
+			unused := fleet.hosts[3] // has sent no request to a target
+			if test.fault == nil {
+				is.True(len(unused.Status().TargetLimits) > 0)
+			}
 			for number, limit := range test.limits {
 				if limit > 0 {
 					most := mostInWindow(targets[number].Arrivals(), start.Add(limitSettled))
@@ -138,10 +142,11 @@
 	}
 	const duration = 4 * time.Second
 	responses := fleet.drive(testRequest{path: "/lookup/a", key: key}, fleet.hosts, 50*time.Millisecond, duration)
-	served, refused := 0, 0
+	served, refused, longest := 0, 0, time.Duration(0)
 	for _, response := range responses {
 		if response.status == 200 {
 			served++
+			longest = max(longest, response.duration)
 			continue
 		}
 		refused++
@@ -156,6 +161,7 @@
 	allowed := len(fleet.tools) * int(limit*duration.Seconds())
 	t.Logf("%d served, %d refused, %d allowed", served, refused, allowed)
 	is.True(served >= allowed/2 && refused > 0)
+	is.True(longest > 200*time.Millisecond) // a request waits for room that it will have soon
 	for _, target := range fleet.tools {
 		target.SetLimit("")
 	}
