Report a target's limit until another host has

A host that had just started did not hear of a limit if it had itself, before its restart, got the target's latest response: only that host told the others, and nobody else did. It sent the target a request without a permit and learned from the response.

Cause: each host reported only the limits of which it had received the latest response. Now a host reports every limit it knows unless another host has reported the same within 0.6 s, so one or a few do at any time, and a report that only repeats what is known does not make it newer.

TestRepeatedReports guards against reports that hosts pass back and forth until they outlast the end of a limit.

--- a/internal/capacity/board.go
+++ b/internal/capacity/board.go
@@ -9,9 +9,17 @@
 	"time"
 )
 
-// liftedReportTime is how long a host reports that a target has lifted its limit.
-// Hosts that were not reachable meanwhile find out with their next request.
-const liftedReportTime = 10 * time.Second
+const (
+	// liftedReportTime is how long a host reports that a target has lifted its limit.
+	// Hosts that were not reachable meanwhile find out with their next request.
+	liftedReportTime = 10 * time.Second
+	// reportPause is how long a host leaves the reports on a target to the other
+	// host that it heard from last: a few status intervals.
+	reportPause = 600 * time.Millisecond
+	// reportLag is the largest inaccuracy of an age: the timeout of a status
+	// exchange, with a margin.
+	reportLag = 500 * time.Millisecond
+)
 
 // Announcement is the statement of a target about the requests that it accepts
 // from all hosts together.
@@ -20,7 +28,12 @@
 	Rate       float64 // requests a second, if limited
 	Boot       int64   // start time of the target in Unix milliseconds; a restarted target is not bound by its earlier statements
 	ObservedAt time.Time
-	own        bool // this host has received the response itself
+	reportedAt time.Time // another host reported the same
+}
+
+// sameLimit reports whether two announcements say the same.
+func (announcement Announcement) sameLimit(other Announcement) bool {
+	return announcement.Limited == other.Limited && announcement.Rate == other.Rate && announcement.Boot == other.Boot
 }
 
 // Report is an announcement in a message to another host. It contains an age,
@@ -45,7 +58,12 @@
 // Observe records an announcement from a response that this host has received.
 // It reports whether the limit of the target has changed.
 func (board *Board) Observe(target string, announcement Announcement) bool {
-	announcement.own = true
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	previous, known := board.announcements[target]
+	if known && announcement.sameLimit(previous) {
+		announcement.reportedAt = previous.reportedAt
+	}
 	return board.record(target, announcement)
 }
 
@@ -55,26 +73,32 @@
 	if report.Age < 0 || !validRate(report.Rate) {
 		return false
 	}
-	return board.record(target, Announcement{Limited: report.Limited, Rate: report.Rate, Boot: report.Boot, ObservedAt: now.Add(-report.Age)})
+	announcement := Announcement{Limited: report.Limited, Rate: report.Rate, Boot: report.Boot, ObservedAt: now.Add(-report.Age), reportedAt: now}
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	previous, known := board.announcements[target]
+	if known && announcement.sameLimit(previous) && announcement.ObservedAt.Sub(previous.ObservedAt) < reportLag {
+		// Hosts that repeat each other's reports must not make them appear newer.
+		previous.reportedAt = now
+		board.announcements[target] = previous
+		return false
+	}
+	return board.record(target, announcement)
 }
 
 // validRate reports whether a rate from another host is a number of requests a
 // second.
 func validRate(rate float64) bool { return rate >= 0 && rate <= math.MaxFloat64 }
 
-// record replaces the announcement of a target unless a later one is known.
+// record replaces the announcement of a target unless a later one is known. The
+// caller must hold the mutex.
 func (board *Board) record(target string, announcement Announcement) bool {
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
 	previous, known := board.announcements[target]
-	if !known && !announcement.Limited {
-		return false
-	}
-	if known && announcement.ObservedAt.Before(previous.ObservedAt) {
+	if !known && !announcement.Limited || known && announcement.ObservedAt.Before(previous.ObservedAt) {
 		return false
 	}
 	board.announcements[target] = announcement
-	return previous.Limited != announcement.Limited || previous.Rate != announcement.Rate || announcement.Limited && previous.Boot != announcement.Boot
+	return !announcement.sameLimit(previous)
 }
 
 // Limit returns the requests a second that a target accepts from all hosts
@@ -104,15 +128,14 @@
 }
 
 // Reports returns what this host tells the other hosts, by target ID: the limits,
-// and those lifted recently, of which it has received the latest response. The
-// other hosts report theirs themselves.
+// and those lifted recently, that no other host has just reported.
 func (board *Board) Reports(now time.Time) map[string]Report {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	var reports map[string]Report
 	for target, announcement := range board.announcements {
 		age := max(0, now.Sub(announcement.ObservedAt))
-		if !announcement.own || !announcement.Limited && age > liftedReportTime {
+		if now.Sub(announcement.reportedAt) < reportPause || !announcement.Limited && age > liftedReportTime {
 			continue
 		}
 		if reports == nil {
--- a/internal/capacity/board_test.go
+++ b/internal/capacity/board_test.go
@@ -61,7 +61,8 @@
 	reports := here.Reports(later(1))
 	is.Equal(reports, map[string]Report{"t": {Limited: true, Rate: 2, Boot: 7, Age: time.Second}})
 	is.True(there.Merge("t", reports["t"], later(1)))
-	is.Equal(len(there.Reports(later(1))), 0) // only the host that received the response reports it
+	is.Equal(len(there.Reports(later(1))), 0) // left to the other host
+	is.Equal(there.Reports(later(2)), map[string]Report{"t": {Limited: true, Rate: 2, Boot: 7, Age: 2 * time.Second}})
 	rate, limited := there.Limit("t", 7)
 	is.True(limited)
 	is.Equal(rate, 2.0)
--- a/internal/capacity/limiter_test.go
+++ b/internal/capacity/limiter_test.go
@@ -258,11 +258,37 @@
 	fleet := newFleet(3)
 	target := &fleetTarget{rate: 2, limited: true}
 	fleet.run(target, 2*time.Second, 10, 0)
-	fleet.hosts[1].start()
-	fleet.exchangeStatuses()
-	rate, limited := fleet.hosts[1].board.Limit("target", 0)
-	is.True(limited)
-	is.Equal(rate, 2.0)
+	for _, host := range fleet.hosts { // also the one that the target responded to last
+		host.start()
+		for range 4 {
+			fleet.clock.Advance(statusInterval)
+			fleet.exchangeStatuses()
+		}
+		rate, limited := host.board.Limit("target", 0)
+		is.True(limited)
+		is.Equal(rate, 2.0)
+	}
+}
+
+// TestRepeatedReports guards against reports that hosts repeat to each other until
+// they appear newer than the end of a limit.
+func TestRepeatedReports(t *testing.T) {
+	is := is.New(t)
+	here, there, now := NewBoard(), NewBoard(), time.Unix(1000, 0)
+	named := now
+	here.Observe("t", Announcement{Limited: true, Rate: 2, ObservedAt: named})
+	for range 200 {
+		for _, boards := range [][2]*Board{{here, there}, {there, here}} {
+			for target, report := range boards[0].Reports(now) {
+				now = now.Add(100 * time.Millisecond) // on the way
+				boards[1].Merge(target, report, now)
+			}
+			now = now.Add(time.Second)
+		}
+	}
+	for _, board := range []*Board{here, there} {
+		is.True(board.Limits()["t"].ObservedAt.Sub(named) < reportLag)
+	}
 }
 
 // TestPermitAheadOfTime guards against requests that wait longer than they can, and
