Do not close an idle connection of a stopping host with a request on it

A caller that sent a request on a kept connection just as the stopping host closed it got a reset, although the request had arrived.

Cause: a connection counted as idle until the host had read from it. Bytes that have arrived count now. What is still on the network when the connection is closed cannot be saved; the caller sees that it was not read. The check is the one that the pool of connections to targets makes before a reuse, now in internal/socket (TestHasInput).

--- a/internal/gateway/caller_connection.go
+++ b/internal/gateway/caller_connection.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/godwitspread/godwitspread/internal/socket"
 )
 
 // callerConnection is a connection of a caller that can be closed between two
@@ -51,7 +53,7 @@
 func (connection *callerConnection) interruptIdle(now time.Time) error {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if connection.reading || !connection.served && now.Sub(connection.acceptedAt) < firstRequestWait {
+	if connection.reading || socket.HasInput(connection.Conn) || !connection.served && now.Sub(connection.acceptedAt) < firstRequestWait {
 		return nil
 	}
 	return connection.Conn.SetReadDeadline(now)
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/godwitspread/godwitspread/internal/socket"
 )
 
 const (
@@ -90,8 +92,8 @@
 }
 
 // newConn returns a connection to the target with a key.
-func newConn(socket net.Conn, key string) *conn {
-	connection := &conn{Conn: socket, key: key}
+func newConn(opened net.Conn, key string) *conn {
+	connection := &conn{Conn: opened, key: key}
 	connection.reader = bufio.NewReaderSize(connection, readBufferSize)
 	return connection
 }
@@ -189,11 +191,11 @@
 // ended. A target that does not respond may only be cut off.
 func (pool *Pool) Refuses(ctx context.Context, address string) bool {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	socket.Close()
+	opened.Close()
 	return false
 }
 
@@ -261,20 +263,20 @@
 		if connection == nil {
 			break
 		}
-		if pool.clock.Since(connection.idleSince) < connection.idleTimeout && reusable(connection) {
+		if pool.clock.Since(connection.idleSince) < connection.idleTimeout && !socket.HasInput(connection.Conn) {
 			return connection, nil
 		}
 		connection.Close()
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to target %q: %w", id, err)
 	}
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
-	return newConn(socket, key), nil
+	return newConn(opened, key), nil
 }
 
 // popIdle removes and returns the connection that was used most recently.
@@ -361,24 +363,3 @@
 		connection.Close()
 	}
 }
-
-// reusable reports whether an idle connection is still open and has no unread
-// bytes.
-func reusable(connection *conn) bool {
-	socket, ok := connection.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var buffer [1]byte
-		_, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && alive
-}
