Read the configuration at least twice within its bound

A request was handled by a configuration that had been replaced 2.3 s before; callers of a withdrawn or moved route would have been served by the old one for up to 3 s where 2 s are allowed.

Cause: hosts wait for a new version with a read of up to 3 s, longer than the bound, and rely on being woken. They wait for half of the bound now.

TestMissedWakeups failed before (3 s) and passes.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -23,12 +23,20 @@
 	onChange func(*route.Table)
 }
 
-// configurationWait is the duration of a long poll of the configuration. A
-// connection that has stopped responding is detected after it.
-const configurationWait = 3 * time.Second
+const (
+	// configurationPolls is the number of long polls of the configuration within
+	// the time in which a version must be in force. The store may not wake a poll,
+	// which then returns the version when it ends.
+	configurationPolls = 2
+	// maxConfigurationWait is the longest duration of such a poll. A connection that
+	// has stopped responding is detected after it.
+	maxConfigurationWait = 3 * time.Second
+	minConfigurationWait = 200 * time.Millisecond
+)
 
 func newConfiguration(settings platform.Settings, configurationStore store.Store, clock clockwork.Clock, logger log.Interface) *configuration {
-	configuration := &configuration{clock: clock, logger: logger, maxAge: settings.Bounds.Configuration + configurationWait}
+	configuration := &configuration{clock: clock, logger: logger, maxAge: settings.Bounds.Configuration + maxConfigurationWait}
+	configurationWait := max(minConfigurationWait, min(maxConfigurationWait, settings.Bounds.Configuration/configurationPolls))
 	configuration.follower = &store.Follower{
 		Store: configurationStore, Clock: clock, Logger: logger, Topic: platform.OperatorTopic, Wait: configurationWait, Apply: configuration.apply,
 	}
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -184,3 +184,20 @@
 	is.Equal(len(fleet.runsOf(response.attempt)), 1)
 	is.True(response.status == 502 || response.status == 504) // 503 promises that it has not run
 }
+
+// TestMissedWakeups guards against a configuration that takes effect late because
+// the store does not wake the hosts' waiting reads.
+func TestMissedWakeups(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	fleet.publish() // its record ends the reads, which then wait again
+	fleet.awaitReady()
+	fleet.store.SetMissedWakeups(true)
+	time.Sleep(50 * time.Millisecond)
+	fleet.publish() // wakes the reads once more
+	fleet.eventually(4*time.Second, "the version is in force", func() bool { return fleet.hosts[0].Status().Version == int64(fleet.version) })
+	fleet.publish()
+	start := time.Now()
+	fleet.awaitReady()
+	is.True(time.Since(start) < fleet.hosts[0].settings.Bounds.Configuration)
+}
