Log and count streams that go on, with the software versions of their targets

The lines of a request named its targets but not their versions, and no line told whether an attempt takes up the stream of an earlier one, so the hypotheses of the incident could not be told apart. An entry without a software version names no target.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -130,6 +130,7 @@
 	body         []byte
 	digest       uint64         // hash of the content, identifies requests that crash targets
 	triedTargets []string       // IDs of the targets that the request was sent to
+	versions     []string       // software versions of these targets
 	possibleRuns int            // number of targets that may have run the request
 	waitTime     time.Duration  // time spent waiting for the store and other hosts
 	rateCharged  bool           // the request counts against the workspace's rate
@@ -183,6 +184,11 @@
 	return exchange.route.Priority == 0
 }
 
+// resumed reports whether the request continues a stream of an earlier attempt.
+func (exchange *exchange) resumed() bool {
+	return exchange.request != nil && (exchange.request.Resumes != "" || exchange.request.LastEvent != "")
+}
+
 // timeLeft returns the time until the deadline of the request.
 func (exchange *exchange) timeLeft() time.Duration {
 	return exchange.deadline.Sub(exchange.handler.clock.Now())
--- a/internal/front/rejection.go
+++ b/internal/front/rejection.go
@@ -98,5 +98,11 @@
 	if len(exchange.triedTargets) > 0 {
 		fields["targets"] = exchange.triedTargets
 	}
+	if exchange.resumed() {
+		fields["resumes"], fields["last_event"] = exchange.request.Resumes, exchange.request.LastEvent
+	}
+	if len(exchange.versions) > 1 || len(exchange.versions) == 1 && exchange.resumed() {
+		fields["versions"] = exchange.versions
+	}
 	return fields
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -34,6 +34,7 @@
 	bytes         int          // size of these events
 	output        bytes.Buffer // data of the events, for turns that are stored
 	retainsOutput bool
+	began         placement.Target // target that sent the first event, if headSent
 }
 
 // serveStream serves a request whose response is a series of events. It passes
@@ -58,12 +59,13 @@
 		if !found {
 			break
 		}
+		relay.recordContinuation(target)
 		response, head, err := exchange.send(ctx, target, relay.lastEvent)
 		if err == nil && !head.NotRun {
 			if !head.Streaming {
 				return exchange.relayPlainResponse(ctx, relay, target, response)
 			}
-			if err = relay.copyEvents(ctx, response); err == nil {
+			if err = relay.copyEvents(ctx, target, response); err == nil {
 				response.Release()
 				exchange.recordOutcome(target, placement.Served)
 				return relay.complete(ctx)
@@ -78,6 +80,22 @@
 	return relay.fail(exchange.exhaustedRejection())
 }
 
+// recordContinuation logs that a stream whose first events the caller has received
+// goes on at another target.
+func (relay *relay) recordContinuation(target placement.Target) {
+	handler, entry := relay.exchange.handler, relay.exchange.handler.logger.WithFields(relay.exchange.logFields())
+	fields := log.Fields{"target": target.ID, "target_version": target.Version}
+	switch {
+	case relay.headSent:
+		handler.metrics.Count("streams_continued")
+		fields["began_at"], fields["began_version"], fields["events"] = relay.began.ID, relay.began.Version, relay.events
+		entry.WithFields(fields).Info("stream continues at another target")
+	case relay.exchange.resumed():
+		handler.metrics.Count("streams_resumed")
+		entry.WithFields(fields).Info("caller resumes a stream")
+	}
+}
+
 // relayPlainResponse passes on a response that is not an event stream, such as an
 // error.
 func (exchange *exchange) relayPlainResponse(ctx context.Context, relay *relay, target placement.Target, response *outbound.Response) *rejection {
@@ -102,7 +120,7 @@
 
 // copyEvents passes events on until the end of the response. While the request
 // may still run on another target, it returns an error if the stream stalls.
-func (relay *relay) copyEvents(ctx context.Context, response *outbound.Response) error {
+func (relay *relay) copyEvents(ctx context.Context, target placement.Target, response *outbound.Response) error {
 	exchange := relay.exchange
 	controller := http.NewResponseController(exchange.writer)
 	reader := bufio.NewReader(response.Body)
@@ -128,7 +146,7 @@
 		}
 		readAt := exchange.handler.clock.Now()
 		if !relay.headSent {
-			relay.headSent = true
+			relay.headSent, relay.began = true, target
 			exchange.writeHead(response)
 			exchange.handler.metrics.ObserveLatency("first_event", exchange.handler.clock.Since(exchange.arrivedAt))
 		}
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -19,7 +19,7 @@
 // target that leaves shortly after an outage must not stay in use for another full
 // renewal grace period.
 func TestMissingTargets(t *testing.T) {
-	entry := []byte(`{"service":"tools","address":"127.0.0.1:1","slots":1,"state":"ready"}`)
+	entry := []byte(`{"service":"tools","version":"v1","address":"127.0.0.1:1","slots":1,"state":"ready"}`)
 	tests := []struct {
 		name       string
 		healthyFor time.Duration // time since the store became available when the entry disappears; negative during an outage
@@ -50,7 +50,7 @@
 // entry is renewed within the grace period.
 func TestLapsedEntryReturns(t *testing.T) {
 	is := is.New(t)
-	entry := []byte(`{"service":"tools","address":"127.0.0.1:1","slots":1,"state":"ready"}`)
+	entry := []byte(`{"service":"tools","version":"v1","address":"127.0.0.1:1","slots":1,"state":"ready"}`)
 	clock := clockwork.NewFakeClock()
 	restored := clock.Now()
 	registry := placement.NewRegistry("dc", placement.DefaultPolicy(rand.IntN))
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -13,6 +13,7 @@
 type Target struct {
 	ID              string
 	Service         string
+	Version         string // of the software; a stream can only continue at the version that began it
 	Address         string
 	DataCentre      string
 	Slots           int // requests that the target runs concurrently
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -21,6 +21,7 @@
 	TimeLeft  time.Duration // until the caller stops waiting
 	Affinity  string        // ID of the object that the request concerns
 	LastEvent string        // ID of the last event that the caller has received
+	Resumes   string        // ID of the attempt that brought the first event of the stream that this attempt resumes, or empty
 
 	Program         string        // ID of the program, or empty
 	Session         string        // ID of a session, whose requests share a cached prompt; or empty
