Reproduce streams that hold events from two software versions

TestStreamStaysAtItsVersion fails in all of its seven cases on the current code: a host goes on at any target of the service when one breaks off, and a host that a caller comes back to knows nothing of the first attempt.

--- /dev/null
+++ b/internal/gateway/stream_version_test.go
@@ -0,0 +1,147 @@
+package gateway_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/godwitspread/godwitspread/platform/standin"
+)
+
+const streamsPerCase = 12
+
+// newFleetWithTwoVersions returns a fleet with two engines of each of two software
+// versions. Every engine cuts off each stream that is not resumed in the middle of
+// its last event.
+func newFleetWithTwoVersions(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	fleet := newFleet(t, hosts)
+	fleet.addEngine("e-3", "v1")
+	for number, engine := range fleet.engines {
+		engine.Version = fmt.Sprintf("v%d", number%2+1)
+		engine.SetBehaviour(func(run standin.Run) standin.Behaviour {
+			if run.Header.Get("Resumes") == "" {
+				return standin.Truncate
+			}
+			return standin.Normal
+		})
+		fleet.store.Put("keyed.servers", engine.ID, engine.Entry("ready"))
+	}
+	time.Sleep(2 * entryPropagation)
+	return fleet
+}
+
+// entryPropagation is the time after which all hosts know an entry of a target.
+const entryPropagation = 500 * time.Millisecond
+
+func (fleet *fleet) addEngine(id, version string) {
+	engine := fleet.target(id, "engines", eventsPerStream)
+	engine.Version = version
+	fleet.engines = append(fleet.engines, engine)
+	fleet.store.Put("keyed.servers", id, engine.Entry("ready"))
+}
+
+// versionsOf returns the software versions of the targets that ran attempts.
+func (fleet *fleet) versionsOf(attempts ...string) map[string]bool {
+	versions := make(map[string]bool)
+	for _, attempt := range attempts {
+		for _, run := range fleet.runsOf(attempt) {
+			for _, engine := range fleet.engines {
+				if engine.ID == run.Target {
+					versions[engine.Version] = true
+				}
+			}
+		}
+	}
+	return versions
+}
+
+// resume sends the attempt of a caller that has received events of a stream.
+func (host *testHost) resume(first testResponse) testResponse {
+	last := strings.Count(first.body, "\ndata:")
+	return host.send(testRequest{path: "/summary/a", key: key, header: map[string]string{"Last-Event-Id": fmt.Sprint(last), "Resumes": first.attempt}})
+}
+
+// TestStreamStaysAtItsVersion guards against streams that hold events from targets of
+// two software versions, in one response or over the attempts of a caller.
+func TestStreamStaysAtItsVersion(t *testing.T) {
+	tests := []struct {
+		name    string
+		between func(fleet *fleet) // after the first attempts; the hosts from the second on are in use afterwards
+		from    int                // first of the hosts that the callers come back to
+		unknown bool               // nobody can know the version any more, so the streams are refused
+	}{
+		{name: "other hosts", between: func(*fleet) {}, from: 1},
+		{name: "the host that began the streams is killed", between: func(fleet *fleet) { fleet.hosts[0].kill() }, from: 1},
+		{name: "other hosts have just started", between: func(fleet *fleet) {
+			for _, host := range fleet.hosts[1:] {
+				host.kill()
+				fleet.startHost(host)
+			}
+			fleet.awaitReady()
+		}, from: 1},
+		{name: "the host that began the streams has restarted", between: func(fleet *fleet) {
+			fleet.hosts[0].kill()
+			fleet.startHost(fleet.hosts[0])
+			fleet.awaitReady()
+		}},
+		{name: "the store is lost", between: func(fleet *fleet) {
+			fleet.store.SetFault(func(string, string) standin.Fault { return standin.Reset })
+			time.Sleep(time.Second)
+		}, from: 1},
+		{name: "the entries of the targets that began the streams are gone", between: func(fleet *fleet) {
+			for _, engine := range fleet.engines {
+				engine.SetBehaviour(nil)
+			}
+			fleet.store.Put("keyed.servers", "e-0", nil)
+			fleet.store.Put("keyed.servers", "e-1", nil)
+			time.Sleep(entryPropagation)
+		}, from: 1},
+		{name: "all hosts have restarted", between: func(fleet *fleet) {
+			for _, host := range fleet.hosts {
+				host.kill()
+			}
+			for _, host := range fleet.hosts {
+				fleet.startHost(host)
+			}
+			fleet.awaitReady()
+		}, unknown: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleetWithTwoVersions(t, 4)
+			var cut []testResponse
+			for range streamsPerCase {
+				response := fleet.hosts[0].send(testRequest{path: "/summary/a", key: key})
+				is.Equal(response.status, 200)
+				is.True(!response.complete)
+				is.Equal(len(fleet.versionsOf(response.attempt)), 1) // in one response
+				cut = append(cut, response)
+			}
+			test.between(fleet)
+			hosts := fleet.hosts[test.from:]
+			served := 0
+			for number, first := range cut {
+				second := hosts[number%len(hosts)].resume(first)
+				is.Equal(len(fleet.versionsOf(first.attempt, second.attempt)), 1) // over the attempts
+				if second.status == 200 {
+					is.True(second.complete)
+					served++
+					continue
+				}
+				is.Equal(second.status, 503)
+				is.Equal(len(fleet.runsOf(second.attempt)), 0)
+				is.True(second.duration < time.Second) // refused at once
+			}
+			if test.unknown {
+				is.Equal(served, 0)
+			} else {
+				is.Equal(served, streamsPerCase)
+			}
+		})
+	}
+}
