Continue a stream only at the software version that began it

Cause: a host chose any target of the service when one broke off a stream, and when a caller came back with the rest of a stream it knew nothing of the first attempt. The class: work that moves to another target without a property of the first one that it depends on. A split route had the same fault with the service: each attempt drew one anew.

Now the target of the first event binds the stream to its version and service, as they were when it was chosen. The host records them under the attempt's ID before the caller gets the event and sends copies to a host of its data centre and one of another. A host to which a caller comes back looks the attempt up, in its own records and at the others; if nobody knows it, the stream goes on only if the service has had a single version for as long as it can have lasted, which a read of the entries that begins after the request and hosts that have followed them long enough confirm. Otherwise it is refused at once with 503, which is true.

Ruled out: that the host compares a wrong version (it compared none). Closed all the same: a target that restarts under its ID with another version makes the origin of its earlier streams unknown.

Gateway tests with the race detector: pass, 89 s.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -16,6 +16,7 @@
 	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/metric"
+	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/quota"
@@ -65,6 +66,14 @@
 	CheckStorable(size int) error
 }
 
+// Origins records at which software version streams began.
+type Origins interface {
+	// Begin records a stream before the caller receives its first event.
+	Begin(record origin.Record)
+	// Resolve returns where a stream began, and an error if that is not certain.
+	Resolve(ctx context.Context, query origin.Query) (origin.Origin, error)
+}
+
 // Handler is the HTTP handler for callers' requests.
 type Handler struct {
 	clock         clockwork.Clock
@@ -80,6 +89,7 @@
 	limitSettings func() quota.LimitSettings
 	targetLimits  *capacity.Board
 	targetLimiter *capacity.Limiter
+	origins       Origins
 	draining      atomic.Bool
 	inFlight      atomic.Int64
 }
@@ -99,6 +109,7 @@
 	LimitSettings func() quota.LimitSettings // rules by which workspaces' rates are enforced
 	TargetLimits  *capacity.Board            // request limits that targets announce
 	TargetLimiter *capacity.Limiter          // enforces these limits
+	Origins       Origins
 }
 
 // New returns a handler with the given dependencies.
@@ -106,7 +117,7 @@
 	return &Handler{
 		clock: dependencies.Clock, logger: dependencies.Logger, metrics: dependencies.Metrics, configuration: dependencies.Configuration,
 		registry: dependencies.Registry, pool: dependencies.Pool, crashTracker: dependencies.CrashTracker, rateLimiter: dependencies.RateLimiter, budgets: dependencies.Budgets, turnHistory: dependencies.TurnHistory, limitSettings: dependencies.LimitSettings,
-		targetLimits: dependencies.TargetLimits, targetLimiter: dependencies.TargetLimiter,
+		targetLimits: dependencies.TargetLimits, targetLimiter: dependencies.TargetLimiter, origins: dependencies.Origins,
 	}
 }
 
@@ -125,6 +136,7 @@
 	route        *route.Route
 	workspace    *route.Workspace
 	service      string
+	version      string // software version at which the stream began; empty until then
 	arrivedAt    time.Time
 	deadline     time.Time
 	body         []byte
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -77,7 +77,7 @@
 	if exchange.request.Session != "" && exchange.request.MaxTokens > 0 {
 		affinity = exchange.request.Session
 	}
-	return placement.Request{Service: exchange.service, Affinity: affinity, Tried: exchange.triedTargets}
+	return placement.Request{Service: exchange.service, Version: exchange.version, Affinity: affinity, Tried: exchange.triedTargets}
 }
 
 // send sends the request to a target and returns the head of its response. It
@@ -193,6 +193,10 @@
 	if exchange.possibleRuns > 0 {
 		return newRejection(http.StatusBadGateway, "outcome_unknown")
 	}
+	if exchange.version != "" {
+		return newRejection(http.StatusServiceUnavailable, "stream_version_gone").withRetryDelay(busyRetryDelay).
+			withCause(fmt.Errorf("service %q has no other target of software version %q, at which the stream began", exchange.service, exchange.version))
+	}
 	return newRejection(http.StatusServiceUnavailable, "no_target").withRetryDelay(busyRetryDelay)
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -41,6 +41,11 @@
 // on complete events only. A resumable stream continues on another target.
 func (exchange *exchange) serveStream(ctx context.Context) *rejection {
 	start := exchange.handler.clock.Now()
+	if exchange.resumed() {
+		if rejection := exchange.resolveOrigin(ctx); rejection != nil {
+			return rejection
+		}
+	}
 	if rejection := exchange.prepareTurn(ctx); rejection != nil {
 		return rejection
 	}
@@ -52,6 +57,9 @@
 		}
 	}()
 	for len(exchange.triedTargets) < maxTargets {
+		if relay.headSent && !exchange.certainVersion(relay.began) {
+			return relay.fail(newRejection(http.StatusBadGateway, "stream_origin_unknown"))
+		}
 		target, found, rejection := exchange.acquireTarget(ctx)
 		if rejection != nil {
 			return relay.fail(rejection)
@@ -147,6 +155,7 @@
 		readAt := exchange.handler.clock.Now()
 		if !relay.headSent {
 			relay.headSent, relay.began = true, target
+			exchange.recordOrigin(target)
 			exchange.writeHead(response)
 			exchange.handler.metrics.ObserveLatency("first_event", exchange.handler.clock.Since(exchange.arrivedAt))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/mesh"
 	"github.com/godwitspread/godwitspread/internal/metric"
+	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/placement"
@@ -65,6 +66,8 @@
 	crashTracker  *placement.CrashTracker
 	targetLimits  *capacity.Board
 	targetLimiter *capacity.Limiter
+	origins       *origin.Resolver
+	entries       *store.Follower // of the targets' entries
 	configuration *configuration
 	targetTracker *targetTracker
 	front         *front.Handler
@@ -124,19 +127,24 @@
 		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), Reachable: gateway.store.Reachable,
 		StoreLimits: history.StoreLimits{RecordBytes: settings.Store.MaxRecordBytes, AppendBytes: settings.Store.MaxAppendBytes},
 	})
+	gateway.targetTracker = newTargetTracker(clock, logger, gateway.registry, gateway.store.HealthySince)
+	gateway.entries = &store.Follower{
+		Store: gateway.store, Clock: clock, Logger: logger, Topic: platform.TargetTopic,
+		ReadInterval: max(minTargetReadInterval, settings.Bounds.Drain/targetReadsPerDrain), Apply: gateway.targetTracker.apply,
+	}
+	gateway.origins = origin.NewResolver(gateway.targetTracker.versions, targetView{gateway.registry, gateway.entries}, gateway.mesh, clock, gateway.metrics)
 	gateway.transport = peer.NewTransport(settings.Host, gateway.self.Incarnation, settings.PeerSecret, clock, logger, gateway.mesh.Handler(mesh.Operations{
 		Store: gateway.directStore, Chain: gateway.histories.CachedChain, Push: gateway.histories.CacheTurns,
 		Release: gateway.allocator.Release, Reserve: gateway.reserver.HandleReserve, Settle: gateway.reserver.HandleSettle, DecideAdmission: gateway.limiter.Serve, ProgramStarted: gateway.reserver.Started,
-		GrantPermit: gateway.targetLimiter.Serve,
+		GrantPermit: gateway.targetLimiter.Serve, Origins: gateway.origins,
 	}))
 	gateway.mesh.SetTransport(gateway.transport)
 	gateway.configuration = newConfiguration(settings, gateway.store, clock, logger)
-	gateway.targetTracker = newTargetTracker(clock, logger, gateway.registry, gateway.store.HealthySince)
 	gateway.front = front.New(front.Dependencies{
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
 		Registry: gateway.registry, Pool: gateway.pool, CrashTracker: gateway.crashTracker,
 		RateLimiter: gateway.limiter, Budgets: gateway.reserver, TurnHistory: gateway.histories,
-		LimitSettings: gateway.limitSettings, TargetLimits: gateway.targetLimits, TargetLimiter: gateway.targetLimiter,
+		LimitSettings: gateway.limitSettings, TargetLimits: gateway.targetLimits, TargetLimiter: gateway.targetLimiter, Origins: gateway.origins,
 	})
 	gateway.callerServer = newCallerServer(gateway.front, logger, settings.FileDescriptors/2)
 	gateway.configuration.onChange = func(table *route.Table) { gateway.callerServer.applyLimits(table.Limits()) }
@@ -199,14 +207,9 @@
 	}
 	ctx := gateway.ctx
 	go gateway.configuration.follower.Run(ctx)
-	followers := []*store.Follower{
-		{Topic: platform.TargetTopic, ReadInterval: max(minTargetReadInterval, gateway.settings.Bounds.Drain/targetReadsPerDrain), Apply: gateway.targetTracker.apply},
-		{Topic: mesh.Topic, Wait: hostEntriesWait, Apply: gateway.mesh.Apply},
-	}
-	for _, follower := range followers {
-		follower.Store, follower.Clock, follower.Logger = gateway.store, gateway.clock, gateway.logger
-		go follower.Run(ctx)
-	}
+	hostEntries := &store.Follower{Store: gateway.store, Clock: gateway.clock, Logger: gateway.logger, Topic: mesh.Topic, Wait: hostEntriesWait, Apply: gateway.mesh.Apply}
+	go gateway.entries.Run(ctx)
+	go hostEntries.Run(ctx)
 	go gateway.registerHost()
 	go gateway.mesh.Run(ctx)
 	go worker.Every(ctx, gateway.clock, evictInterval, gateway.evictUnused)
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -145,3 +145,30 @@
 		})
 	}
 }
+
+// TestStreamOfUnknownOrigin guards against continuing a stream at any version, and
+// against refusing one of a service that has had a single version all along, when the
+// caller does not name the attempt that began it.
+func TestStreamOfUnknownOrigin(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	fleet.config["routes"] = append(fleet.config["routes"].([]map[string]any), route("brief", "/brief/", "streaming", "engines", map[string]any{"resumable": true, "timeoutMs": 300}))
+	fleet.publish()
+	resume := func(host int) testResponse {
+		return fleet.hosts[host].send(testRequest{path: "/brief/a", key: key, limit: 300 * time.Millisecond, header: map[string]string{"Last-Event-Id": "2"}})
+	}
+	fleet.eventually(5*time.Second, "a stream of the only version goes on", func() bool { return resume(0).status == 200 })
+	fleet.hosts[2].kill()
+	fleet.startHost(fleet.hosts[2])
+	fleet.awaitReady()
+	is.Equal(resume(2).status, 200) // a host that has just started asks the others
+	fleet.addEngine("e-3", "v2")
+	for number := range fleet.hosts {
+		refused := resume(number) // at once, although no host can have read the new entry
+		is.Equal(refused.status, 503)
+		is.True(strings.Contains(refused.body, "stream_origin_unknown"))
+		is.Equal(len(fleet.runsOf(refused.attempt)), 0)
+	}
+	fleet.store.Put("keyed.servers", "e-3", nil)
+	fleet.eventually(5*time.Second, "a stream goes on when only one version is left", func() bool { return resume(1).status == 200 })
+}
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/store"
 	"github.com/godwitspread/godwitspread/platform"
@@ -23,15 +24,43 @@
 	registry     *placement.Registry
 	healthySince func() (time.Time, bool) // start of the period in which the store has responded to every call; false while calls fail
 	missing      map[string]bool          // IDs of the targets without an entry
+	versions     *origin.VersionHistory
+	lastApplied  time.Time
 }
 
 func newTargetTracker(clock clockwork.Clock, logger log.Interface, registry *placement.Registry, healthySince func() (time.Time, bool)) *targetTracker {
-	return &targetTracker{clock: clock, logger: logger, registry: registry, healthySince: healthySince, missing: make(map[string]bool)}
+	return &targetTracker{clock: clock, logger: logger, registry: registry, healthySince: healthySince, missing: make(map[string]bool), versions: origin.NewVersionHistory()}
+}
+
+// maxListingGap is the longest time between two listings of the entries in which no
+// target can have started, served and left: it serves for longer than its start takes
+// and reports that it is draining two seconds before it leaves.
+const maxListingGap = 2 * time.Second
+
+// observeVersions records the software versions that have been in use until now.
+func (targetTracker *targetTracker) observeVersions() {
+	now := targetTracker.clock.Now()
+	for _, target := range targetTracker.registry.Targets() {
+		targetTracker.versions.Observe(target.Service, target.Version, now)
+	}
+}
+
+// continueHistory restarts the history of versions if entries may have been missed.
+func (targetTracker *targetTracker) continueHistory(complete bool) {
+	now := targetTracker.clock.Now()
+	// The monotonic clock stands still while the host is suspended.
+	gap := max(now.Sub(targetTracker.lastApplied), now.Round(0).Sub(targetTracker.lastApplied.Round(0)))
+	if complete && gap > maxListingGap {
+		targetTracker.versions.Restart(now)
+	}
+	targetTracker.lastApplied = now
 }
 
 // apply updates the registry from target entries. complete is true if the records
 // contain all current entries. It runs on the follower's goroutine.
 func (targetTracker *targetTracker) apply(records []store.Record, complete bool) {
+	targetTracker.continueHistory(complete)
+	targetTracker.observeVersions()
 	present := make(map[string]bool)
 	for _, record := range records {
 		if record.IsTombstone() {
@@ -45,6 +74,7 @@
 			continue
 		}
 		delete(targetTracker.missing, target.ID)
+		targetTracker.versions.Observe(target.Service, target.Version, targetTracker.clock.Now())
 		if targetTracker.registry.Put(target) && target.Draining {
 			targetTracker.logger.WithFields(log.Fields{"target": target.ID, "service": target.Service}).Info("target is draining")
 		}
@@ -74,3 +104,9 @@
 		}
 	}
 }
+
+// targetView implements origin.Targets.
+type targetView struct {
+	*placement.Registry
+	*store.Follower
+}
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -81,3 +81,44 @@
 	configuration.apply(record(`{"version":9}`), false)
 	is.Equal(configuration.Table().Version(), int64(9))
 }
+
+// TestVersionsOfMissedTargets guards against counting a version as the only one of a
+// service although a target of another one may have come and gone unseen.
+func TestVersionsOfMissedTargets(t *testing.T) {
+	const window = 5 * time.Second
+	entry := func(version string) []byte {
+		return []byte(`{"service":"engines","version":"` + version + `","address":"127.0.0.1:1","slots":1,"state":"ready"}`)
+	}
+	tests := []struct {
+		name     string
+		gap      time.Duration // before the last read of the entries
+		records  []store.Record
+		listed   bool // the last read is a listing, because the records in between have expired
+		versions []string
+		complete bool
+	}{
+		{"no gap", 300 * time.Millisecond, nil, false, []string{"v1"}, true},
+		{"target came and left within one read", 300 * time.Millisecond, []store.Record{{Key: "t-2", Value: entry("v2")}, {Key: "t-2"}}, false, []string{"v1", "v2"}, true},
+		{"target changed its version", 300 * time.Millisecond, []store.Record{{Key: "t-1", Value: entry("v2")}}, false, []string{"v1", "v2"}, true},
+		{"all records of an outage were read", time.Minute, nil, false, []string{"v1"}, true},
+		{"records of a moment have expired", time.Second, []store.Record{{Key: "t-1", Value: entry("v1")}}, true, []string{"v1"}, true},
+		{"records of an outage have expired", time.Minute, []store.Record{{Key: "t-1", Value: entry("v1")}}, true, []string{"v1"}, false},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		clock := clockwork.NewFakeClock()
+		since := clock.Now().Add(-time.Minute)
+		registry := placement.NewRegistry("dc", placement.DefaultPolicy(rand.IntN))
+		targetTracker := newTargetTracker(clock, &log.Logger{Handler: discard.Default}, registry, func() (time.Time, bool) { return since, true })
+		targetTracker.apply([]store.Record{{Key: "t-1", Value: entry("v1")}}, true)
+		for range 20 {
+			clock.Advance(300 * time.Millisecond)
+			targetTracker.apply(nil, false)
+		}
+		clock.Advance(test.gap)
+		targetTracker.apply(test.records, test.listed)
+		versions, complete := targetTracker.versions.Versions("engines", window, clock.Now())
+		is.Equal(versions, test.versions) // test.name
+		is.Equal(complete, test.complete) // test.name
+	}
+}
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -11,6 +11,7 @@
 	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/history"
+	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/quota"
 	"github.com/godwitspread/godwitspread/internal/store"
@@ -30,6 +31,10 @@
 	methodQuota   = "quota"
 	methodStarted = "begun"
 	methodPermit  = "permit"
+
+	methodPushOrigin = "push_origin"
+	methodFindOrigin = "find_origin"
+	methodVersions   = "versions"
 )
 
 // Operations are the functions of this host that other hosts can call.
@@ -43,6 +48,7 @@
 	DecideAdmission func(request quota.AdmissionRequest) quota.AdmissionResponse // decides as the coordinator of a workspace
 	ProgramStarted  func(program string) bool
 	GrantPermit     func(request capacity.PermitRequest) capacity.PermitResponse // decides as the coordinator of a target
+	Origins         *origin.Resolver                                             // streams that this host knows
 }
 
 type findRequest struct {
@@ -73,6 +79,11 @@
 
 type emptyResponse struct{}
 
+type originResponse struct {
+	Known  bool          `msgpack:"k,omitempty"`
+	Origin origin.Origin `msgpack:"o"`
+}
+
 // storeResponse transfers the result of a store call to another host, including
 // errors that the store itself returned.
 type storeResponse struct {
@@ -161,6 +172,17 @@
 		methodPermit: unaryHandler(func(_ context.Context, request capacity.PermitRequest) (capacity.PermitResponse, error) {
 			return operations.GrantPermit(request), nil
 		}),
+		methodPushOrigin: unaryHandler(func(_ context.Context, record origin.Record) (emptyResponse, error) {
+			operations.Origins.Store(record)
+			return emptyResponse{}, nil
+		}),
+		methodFindOrigin: unaryHandler(func(_ context.Context, key origin.Key) (originResponse, error) {
+			found, known := operations.Origins.Lookup(key)
+			return originResponse{Known: known, Origin: found}, nil
+		}),
+		methodVersions: unaryHandler(func(_ context.Context, request origin.VersionsRequest) (origin.VersionsResponse, error) {
+			return operations.Origins.Versions(request), nil
+		}),
 		methodStarted: unaryHandler(func(_ context.Context, request startedRequest) (startedResponse, error) {
 			return startedResponse{Started: operations.ProgramStarted(request.Program)}, nil
 		}),
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -66,7 +66,7 @@
 	defer registry.mutex.Unlock()
 	var first *targetState
 	for _, state := range registry.byService[request.Service] {
-		if state.target.Draining || contains(request.Tried, state.target.ID) || !now.Before(state.pausedUntil) {
+		if !request.accepts(state.target) || !now.Before(state.pausedUntil) {
 			continue
 		}
 		if first == nil || state.pausedUntil.Before(first.pausedUntil) {
@@ -127,6 +127,11 @@
 	return load, load.Slots > 0 && used >= threshold*float64(load.Slots)
 }
 
+// accepts reports whether a target may run the request.
+func (request Request) accepts(target Target) bool {
+	return !target.Draining && (request.Version == "" || target.Version == request.Version) && !contains(request.Tried, target.ID)
+}
+
 // candidates returns the targets that may run a request and are not paused,
 // beginning with the random sample. It returns last-resort targets only if there are no others. The
 // result is valid until the next call, which reuses its memory.
@@ -134,7 +139,7 @@
 	registry.scratch = registry.scratch[:0]
 	healthy := 0
 	for _, state := range registry.byService[request.Service] {
-		if state.target.Draining || contains(request.Tried, state.target.ID) || now.Before(state.pausedUntil) {
+		if !request.accepts(state.target) || now.Before(state.pausedUntil) {
 			continue
 		}
 		registry.scratch = append(registry.scratch, state)
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -25,6 +25,7 @@
 // Request contains the properties of a request that placement depends on.
 type Request struct {
 	Service  string
+	Version  string   // software version that the target must have; empty for any
 	Affinity string   // requests with the same value benefit from a cache on the same target
 	Tried    []string // IDs of the targets that the request was already sent to
 }
@@ -129,6 +130,17 @@
 	}
 }
 
+// Version returns the software version of the target with an ID, if it is known.
+func (registry *Registry) Version(id string) (string, bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	state, ok := registry.targets[id]
+	if !ok {
+		return "", false
+	}
+	return state.target.Version, true
+}
+
 // Len returns the number of targets.
 func (registry *Registry) Len() int {
 	registry.mutex.Lock()
--- a/internal/placement/registry_test.go
+++ b/internal/placement/registry_test.go
@@ -183,6 +183,36 @@
 	}
 }
 
+// TestVersionOfStream guards against sending a stream to a target of another software
+// version than the one that began it, also if it is the only one or the first that
+// will have room.
+func TestVersionOfStream(t *testing.T) {
+	is := is.New(t)
+	registry := registryWith(
+		Target{ID: "old", Service: "s", Version: "v1", Slots: 1}, Target{ID: "new", Service: "s", Version: "v2", Slots: 8}, Target{ID: "leaving", Service: "s", Version: "v1", Draining: true},
+	)
+	now := time.Unix(1000, 0)
+	for range 20 {
+		chosen, found := registry.Choose(Request{Service: "s", Version: "v1", Affinity: "a"}, now)
+		is.True(found)
+		is.Equal(chosen.ID, "old")
+	}
+	_, found := registry.Choose(Request{Service: "s", Version: "v1", Tried: []string{"old"}}, now)
+	is.True(!found)
+	registry.Done("old", Failed, now)
+	chosen, _ := registry.Choose(Request{Service: "s", Version: "v1"}, now)
+	is.Equal(chosen.ID, "old") // a target that has just failed is the last resort
+	registry.Pause("new", now.Add(time.Second))
+	registry.Pause("old", now.Add(2*time.Second))
+	chosen, _, _ = registry.ChoosePaused(Request{Service: "s", Version: "v1"}, now)
+	is.Equal(chosen.ID, "old")
+	version, known := registry.Version("new")
+	is.True(known)
+	is.Equal(version, "v2")
+	_, known = registry.Version("gone")
+	is.True(!known)
+}
+
 // BenchmarkChoose measures the choice among 100 targets with 1,000 affinities.
 func BenchmarkChoose(b *testing.B) {
 	registry := NewRegistry("a", DefaultPolicy(rand.IntN))
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -54,6 +54,17 @@
 	return route.Kind == Safe || route.Kind == Streaming && route.Resumable
 }
 
+// Services returns the services that requests of the route are sent to.
+func (route *Route) Services() []string {
+	var services []string
+	for _, weighted := range route.WeightedServices {
+		if weighted.Weight > 0 {
+			services = append(services, weighted.Service)
+		}
+	}
+	return services
+}
+
 // PickService selects a service by weight with a random fraction in [0, 1).
 func (route *Route) PickService(fraction float64) string {
 	total := 0.0
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -32,6 +32,8 @@
 	mutex          sync.Mutex
 	interruptRead  context.CancelFunc
 	lastRefresh    time.Time
+	wake           chan struct{} // interrupts the pause between two reads
+	confirmed      chan struct{} // closed at the next successful read
 }
 
 // refreshInterval is the minimum time between two refreshes.
@@ -72,6 +74,55 @@
 	return time.Unix(0, nanos)
 }
 
+// Confirm waits until a read that began after the call has been applied.
+func (follower *Follower) Confirm(ctx context.Context) error {
+	start := follower.Clock.Now()
+	for {
+		wake, confirmed := follower.signals()
+		if !follower.ConfirmedAt().Before(start.Round(0)) {
+			return nil
+		}
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// signals returns the channels between Confirm and Run.
+func (follower *Follower) signals() (wake, confirmed chan struct{}) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if follower.wake == nil {
+		follower.wake, follower.confirmed = make(chan struct{}, 1), make(chan struct{})
+	}
+	return follower.wake, follower.confirmed
+}
+
+// confirm records a successful read and ends the waits for it.
+func (follower *Follower) confirm(start time.Time) {
+	follower.confirmedNanos.Store(start.UnixNano())
+	follower.signals()
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	close(follower.confirmed)
+	follower.confirmed = make(chan struct{})
+}
+
+// pause waits between two reads, unless a confirmation is awaited.
+func (follower *Follower) pause(duration time.Duration) {
+	wake, _ := follower.signals()
+	select {
+	case <-follower.Clock.After(duration):
+	case <-wake:
+	}
+}
+
 // Run follows the partition until the context is cancelled.
 func (follower *Follower) Run(ctx context.Context) {
 	next := int64(-1)
@@ -84,12 +135,12 @@
 			next, err = follower.read(ctx, next)
 		}
 		if err == nil {
-			follower.confirmedNanos.Store(start.UnixNano())
+			follower.confirm(start)
 			if follower.unreachable {
 				follower.unreachable = false
 				follower.Logger.WithField("topic", follower.Topic).Info("store reachable again")
 			}
-			follower.Clock.Sleep(follower.ReadInterval)
+			follower.pause(follower.ReadInterval)
 			continue
 		}
 		if !follower.unreachable && ctx.Err() == nil {
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -51,3 +51,59 @@
 	is.True(applied.Load() >= 3) // later records are applied
 	is.Equal(lines.Entries[0].Level, log.ErrorLevel)
 }
+
+// TestConfirm guards against taking records for current that were read before the
+// call: Confirm must not wait for the pause between two reads, and must fail while
+// the store does.
+func TestConfirm(t *testing.T) {
+	is := is.New(t)
+	var reads atomic.Int64
+	var failing atomic.Bool
+	follower := &Follower{
+		Store: countingStore{reads: &reads, failing: &failing}, Clock: clockwork.NewRealClock(), Logger: &log.Logger{Handler: memory.New()}, Topic: "t",
+		ReadInterval: time.Hour, Apply: func([]Record, bool) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	confirm := func() error {
+		confirmCtx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		defer cancel()
+		return follower.Confirm(confirmCtx)
+	}
+	is.NoErr(confirm())
+	for range 3 {
+		before := reads.Load()
+		is.NoErr(confirm())
+		is.True(reads.Load() > before)
+	}
+	failing.Store(true)
+	is.Equal(confirm(), context.DeadlineExceeded)
+	failing.Store(false)
+	is.NoErr(confirm())
+	cancel()
+	follower.signals()
+	select { // Run ends at the next pause
+	case follower.wake <- struct{}{}:
+	default:
+	}
+	<-done
+}
+
+// countingStore is an empty store that counts the reads.
+type countingStore struct {
+	listingStore
+	reads   *atomic.Int64
+	failing *atomic.Bool
+}
+
+func (store countingStore) Read(ctx context.Context, read Read) (Page, error) {
+	if store.failing.Load() {
+		return Page{}, context.DeadlineExceeded
+	}
+	store.reads.Add(1)
+	return store.listingStore.Read(ctx, read)
+}
