Notice and log that a host has lost all targets

A request that reaches no target looked the same in the logs whether one target was down or the host had lost all of them, and no line said from when to when. A host that hears nothing from any target for 0.25 s while requests are in flight, or that cannot connect to one, connects to three targets at random; if none accepts, it has lost them. Lines 'no target can be reached' and 'targets can be reached again', counter target_losses, gauge and status field targets_lost. Decisions on requests are unchanged.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,39 +47,40 @@
 
 // Gateway is a host that accepts callers' requests.
 type Gateway struct {
-	settings      platform.Settings
-	clock         clockwork.Clock
-	logger        log.Interface
-	metrics       *metric.Metrics
-	store         *store.Failover
-	directStore   *platform.Store
-	writer        *store.Writer
-	expirer       *store.Expirer
-	limiter       *quota.Limiter
-	allocator     *budget.Allocator
-	reserver      *budget.Reserver
-	histories     *history.Histories
-	mesh          *mesh.Mesh
-	transport     *peer.Transport
-	registry      *placement.Registry
-	pool          *outbound.Pool
-	crashTracker  *placement.CrashTracker
-	targetLimits  *capacity.Board
-	targetLimiter *capacity.Limiter
-	origins       *origin.Resolver
-	entries       *store.Follower // of the targets' entries
-	configuration *configuration
-	targetTracker *targetTracker
-	front         *front.Handler
-	servers       []*http.Server
-	callerServer  *callerServer
-	started       time.Time
-	bounds        atomic.Pointer[platform.Bounds]
-	stopping      atomic.Bool
-	isolated      atomic.Bool
-	ctx           context.Context
-	cancel        context.CancelFunc
-	self          mesh.Member
+	settings         platform.Settings
+	clock            clockwork.Clock
+	logger           log.Interface
+	metrics          *metric.Metrics
+	store            *store.Failover
+	directStore      *platform.Store
+	writer           *store.Writer
+	expirer          *store.Expirer
+	limiter          *quota.Limiter
+	allocator        *budget.Allocator
+	reserver         *budget.Reserver
+	histories        *history.Histories
+	mesh             *mesh.Mesh
+	transport        *peer.Transport
+	registry         *placement.Registry
+	pool             *outbound.Pool
+	crashTracker     *placement.CrashTracker
+	targetLimits     *capacity.Board
+	targetLimiter    *capacity.Limiter
+	origins          *origin.Resolver
+	entries          *store.Follower // of the targets' entries
+	configuration    *configuration
+	targetTracker    *targetTracker
+	front            *front.Handler
+	servers          []*http.Server
+	callerServer     *callerServer
+	started          time.Time
+	bounds           atomic.Pointer[platform.Bounds]
+	stopping         atomic.Bool
+	isolated         atomic.Bool
+	targetsCheckedAt time.Time // used by checkTargets only
+	ctx              context.Context
+	cancel           context.CancelFunc
+	self             mesh.Member
 }
 
 // Module provides a Gateway that starts and stops with the fx application.
@@ -214,6 +215,7 @@
 	go gateway.mesh.Run(ctx)
 	go worker.Every(ctx, gateway.clock, evictInterval, gateway.evictUnused)
 	go worker.Every(ctx, gateway.clock, isolationCheckInterval, gateway.checkIsolation)
+	go worker.Every(ctx, gateway.clock, targetCheckInterval, gateway.checkTargets)
 	go gateway.expirer.Run(ctx)
 	go worker.Every(ctx, gateway.clock, sweepInterval, gateway.sweepExpired)
 	if err := gateway.callerServer.listen(gateway.settings.CallerAddress); err != nil {
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -10,6 +11,7 @@
 	"github.com/godwitspread/godwitspread/internal/codec"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/mesh"
+	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
@@ -18,6 +20,9 @@
 	evictInterval          = 2 * time.Second
 	sweepInterval          = 90 * time.Second // turns expire after about a minute
 	isolationCheckInterval = 100 * time.Millisecond
+	targetCheckInterval    = 50 * time.Millisecond
+	lostCheckInterval      = 250 * time.Millisecond // while the targets are lost
+	checkedTargets         = 3                      // targets that a check connects to; fewer would often be those that are down
 )
 
 // registerHost writes the entry of this host to the store.
@@ -111,3 +116,32 @@
 		gateway.logger.Info("host is no longer isolated; reporting ready to the load balancer again")
 	}
 }
+
+// checkTargets finds out whether this host reaches targets, if it may have lost all
+// of them, or has.
+func (gateway *Gateway) checkTargets() {
+	if !gateway.pool.Suspect() || gateway.pool.Lost() && gateway.clock.Since(gateway.targetsCheckedAt) < lostCheckInterval {
+		return
+	}
+	gateway.targetsCheckedAt = gateway.clock.Now()
+	targets := gateway.registry.Targets()
+	mathrand.Shuffle(len(targets), func(left, right int) { targets[left], targets[right] = targets[right], targets[left] })
+	var sample []outbound.Endpoint
+	var ids []string
+	for _, target := range targets[:min(checkedTargets, len(targets))] {
+		sample = append(sample, outbound.Endpoint{ID: target.ID, Address: target.Address})
+		ids = append(ids, target.ID)
+	}
+	lostFor, changed := gateway.pool.Check(gateway.ctx, sample)
+	if !changed || gateway.ctx.Err() != nil {
+		return
+	}
+	if !gateway.pool.Lost() {
+		gateway.metrics.SetGauge("targets_lost", 0)
+		gateway.logger.WithField("lost_for_ms", lostFor.Milliseconds()).Info("targets can be reached again")
+		return
+	}
+	gateway.metrics.SetGauge("targets_lost", 1)
+	gateway.metrics.Count("target_losses")
+	gateway.logger.WithFields(log.Fields{"checked": ids, "active": gateway.front.InFlight()}).Warn("no target can be reached")
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -23,6 +23,7 @@
 	StoreLastFailed  string        `json:"store_last_failed,omitempty"`
 	RequestsInFlight int64         `json:"requests_under_way"`
 	Targets          int           `json:"targets"`
+	TargetsLost      bool          `json:"targets_lost"` // the host itself can connect to none of them
 	TargetLimits     []TargetLimit `json:"target_limits,omitempty"`
 	Peers            []PeerStatus  `json:"peers"`
 	Unreachable      []string      `json:"lost"` // the store, if its direct path fails, and the unreachable hosts
@@ -48,7 +49,7 @@
 	status := Status{
 		Host: gateway.self.Host, DataCentre: gateway.self.DataCentre, Incarnation: gateway.self.Incarnation, Started: gateway.started,
 		Ready: gateway.ready(), Stopping: gateway.stopping.Load(), StoreReached: gateway.store.DirectReachable(),
-		RequestsInFlight: gateway.front.InFlight(), Targets: gateway.registry.Len(), Unreachable: []string{}, Peers: []PeerStatus{},
+		RequestsInFlight: gateway.front.InFlight(), Targets: gateway.registry.Len(), TargetsLost: gateway.pool.Lost(), Unreachable: []string{}, Peers: []PeerStatus{},
 	}
 	if table := gateway.configuration.Table(); table != nil {
 		status.Version = table.Version()
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,9 +51,14 @@
 // Unwrap returns the cause.
 func (err *SendError) Unwrap() error { return err.Err }
 
+// DialFunc connects to the address of a target.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool is a pool of idle connections, by target. It is safe for concurrent use.
 type Pool struct {
-	clock clockwork.Clock
+	clock        clockwork.Clock
+	reachability *reachability
+	dial         DialFunc
 
 	mutex      sync.Mutex
 	idle       map[string][]*conn // by target ID and address, oldest first
@@ -63,13 +69,15 @@
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
-	reused      bool // an earlier request was sent on the connection
-	readingHead bool
-	headBytes   int       // bytes read since the head of the response began
-	key         string    // ID and address of the target
-	idleSince   time.Time // set while the connection is in the pool
-	idleTimeout time.Duration
+	reachability *reachability
+	inFlight     atomic.Bool // a request waits for the target
+	reader       *bufio.Reader
+	reused       bool // an earlier request was sent on the connection
+	readingHead  bool
+	headBytes    int       // bytes read since the head of the response began
+	key          string    // ID and address of the target
+	idleSince    time.Time // set while the connection is in the pool
+	idleTimeout  time.Duration
 }
 
 var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
@@ -80,6 +88,9 @@
 		return 0, errHeadTooLarge
 	}
 	count, err := connection.Conn.Read(buffer)
+	if count > 0 {
+		connection.reachability.heard()
+	}
 	connection.headBytes += count
 	return count, err
 }
@@ -91,16 +102,38 @@
 	return http.ReadResponse(connection.reader, &http.Request{Method: method})
 }
 
+// begin records that a request is sent on the connection.
+func (connection *conn) begin() {
+	connection.inFlight.Store(true)
+	connection.reachability.begin()
+}
+
+// end records that the request on the connection has ended.
+func (connection *conn) end() {
+	if connection.inFlight.CompareAndSwap(true, false) {
+		connection.reachability.end()
+	}
+}
+
 // newConn returns a connection to the target with a key.
-func newConn(opened net.Conn, key string) *conn {
-	connection := &conn{Conn: opened, key: key}
+func newConn(opened net.Conn, key string, reachability *reachability) *conn {
+	connection := &conn{Conn: opened, key: key, reachability: reachability}
 	connection.reader = bufio.NewReaderSize(connection, readBufferSize)
 	return connection
 }
 
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock) *Pool {
-	return &Pool{clock: clock, idle: make(map[string][]*conn)}
+	return &Pool{clock: clock, reachability: newReachability(clock), dial: dialTCP, idle: make(map[string][]*conn)}
+}
+
+// SetDial replaces the function that connects to targets. It must be called before
+// the first request.
+func (pool *Pool) SetDial(dial DialFunc) { pool.dial = dial }
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Response is a response whose body is read from its connection. The caller must
@@ -128,9 +161,11 @@
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
+	connection.begin()
 	stop := context.AfterFunc(ctx, func() { connection.SetDeadline(time.Unix(1, 0)) })
 	fail := func(sent bool, err error) (*Response, error) {
 		stop()
+		connection.end()
 		connection.Close()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -190,8 +225,7 @@
 // Refuses reports whether a target refuses connections, because its process has
 // ended. A target that does not respond may only be cut off.
 func (pool *Pool) Refuses(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	opened, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := pool.dial(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -202,6 +236,7 @@
 // Release returns the connection to the pool, or closes it if it cannot be
 // reused. The caller must have read the whole body.
 func (response *Response) Release() {
+	response.conn.end()
 	if !response.stop() || response.Close || response.ContentLength < 0 && !chunked(response.Response) {
 		response.conn.Close()
 		return
@@ -218,6 +253,7 @@
 
 // Abort closes the connection, which makes the target stop its work.
 func (response *Response) Abort() {
+	response.conn.end()
 	response.stop()
 	response.conn.Close()
 }
@@ -268,15 +304,27 @@
 		}
 		connection.Close()
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	opened, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := pool.connect(ctx, id, address)
 	if err != nil {
+		return nil, err
+	}
+	return newConn(opened, key, pool.reachability), nil
+}
+
+// connect opens a connection to a target.
+func (pool *Pool) connect(ctx context.Context, id, address string) (net.Conn, error) {
+	opened, err := pool.dial(ctx, address)
+	if err != nil {
+		if ctx.Err() == nil {
+			pool.reachability.connectFailed(id)
+		}
 		return nil, fmt.Errorf("connect to target %q: %w", id, err)
 	}
+	pool.reachability.connected()
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
-	return newConn(opened, key), nil
+	return opened, nil
 }
 
 // popIdle removes and returns the connection that was used most recently.
--- a/internal/outbound/pool_test.go
+++ b/internal/outbound/pool_test.go
@@ -193,7 +193,7 @@
 			server.Close()
 		}()
 		pool := NewPool(clockwork.NewRealClock())
-		idle := newConn(client, "t@a")
+		idle := newConn(client, "t@a", newReachability(clockwork.NewRealClock()))
 		idle.idleSince, idle.idleTimeout = time.Now(), time.Minute
 		pool.idle["t@a"] = []*conn{idle}
 		response, err := pool.Send(context.Background(), "t", "a", http.MethodGet, []byte(requestText), 0, matchesRequest)
