--- /dev/null
+++ b/internal/gateway/export_test.go
@@ -0,0 +1,7 @@
+package gateway
+
+import "github.com/godwitspread/godwitspread/internal/outbound"
+
+// SetTargetDial replaces the function with which the host connects to targets. It
+// must be called before Start.
+func (gateway *Gateway) SetTargetDial(dial outbound.DialFunc) { gateway.pool.SetDial(dial) }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -35,6 +35,7 @@
 	*gateway.Gateway
 	name     string
 	settings platform.Settings
+	targets  *targetPath
 	stopped  bool
 }
 
@@ -131,7 +132,7 @@
 			Drain: 2 * time.Second, Grace: 3 * time.Second, Configuration: 2 * time.Second, QuotaWindow: 5 * time.Second,
 		},
 	}
-	host := &testHost{name: name, settings: settings}
+	host := &testHost{name: name, settings: settings, targets: newTargetPath()}
 	fleet.hosts = append(fleet.hosts, host)
 	fleet.startHost(host)
 	return host
@@ -142,6 +143,7 @@
 	fleet.t.Helper()
 	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
 	host.Gateway = gateway.New(host.settings, clockwork.NewRealClock(), logger)
+	host.SetTargetDial(host.targets.dial)
 	if err := host.Start(context.Background()); err != nil {
 		fleet.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/gateway/lost_targets_test.go
@@ -0,0 +1,125 @@
+package gateway_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// noticeTime is the time in which a host with requests notices that it has lost its
+// targets, with a margin; callers are promised three seconds.
+const noticeTime = 1500 * time.Millisecond
+
+// warmUp sends requests, so that hosts have open connections to targets.
+func (fleet *fleet) warmUp(paths ...string) {
+	for _, host := range fleet.hosts {
+		for _, path := range paths {
+			for range 3 {
+				host.send(testRequest{path: path, key: key})
+			}
+		}
+	}
+}
+
+// cut cuts hosts off from all targets and lets callers send requests to them until
+// the hosts have noticed.
+func (fleet *fleet) cut(mode cutMode, hosts ...int) {
+	var cutHosts []*testHost
+	for _, number := range hosts {
+		fleet.hosts[number].targets.set(mode)
+		cutHosts = append(cutHosts, fleet.hosts[number])
+	}
+	fleet.drive(testRequest{path: "/lookup/a", key: key, limit: time.Second}, cutHosts, 50*time.Millisecond, noticeTime)
+}
+
+// TestHostsWithoutTargets guards against hosts that refuse their callers because they
+// have lost all targets, while other hosts reach them.
+func TestHostsWithoutTargets(t *testing.T) {
+	tests := []struct {
+		name string
+		mode cutMode
+		cut  []int    // hosts 0 and 3 are a whole data centre
+		open []string // routes to whose targets the hosts have open connections
+	}{
+		{"one host, connections hang", hanging, []int{0}, []string{"/lookup/a", "/summary/a"}},
+		{"one host, connections are reset", resetting, []int{0}, []string{"/lookup/a", "/summary/a"}},
+		{"one host, open connections to engines live on", refusing, []int{0}, []string{"/summary/a"}},
+		{"most hosts, connections hang", hanging, []int{0, 1, 3}, []string{"/lookup/a", "/summary/a"}},
+		{"a data centre, connections are reset", resetting, []int{0, 3}, []string{"/lookup/a", "/summary/a"}},
+		{"a data centre, open connections to tools live on", refusing, []int{0, 3}, []string{"/lookup/a"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			fleet := newFleet(t, 4)
+			fleet.warmUp(test.open...)
+			fleet.cut(test.mode, test.cut...)
+			sent, served := 0, 0
+			record := func(response testResponse, most int) {
+				sent++
+				if response.status == 200 && response.complete {
+					served++
+					is.Equal(len(fleet.runsOf(response.attempt)), 1)
+				}
+				is.True(len(fleet.runsOf(response.attempt)) <= most)
+			}
+			for round := range 10 {
+				for _, number := range test.cut {
+					host := fleet.hosts[number]
+					record(host.send(testRequest{path: "/lookup/a", key: key}), 2)
+					record(host.send(testRequest{path: "/filing/a", key: key, body: "file this"}), 1)
+					record(host.send(testRequest{path: "/summary/a", key: key, program: fmt.Sprint("s", round, number), budget: 1000, tokens: 100}), 2)
+					first := host.send(testRequest{path: "/dialogue/a", key: key, body: "first;", program: fmt.Sprint("d", round, number), budget: 1000, tokens: 100})
+					record(first, 1)
+					other := fleet.hosts[test.cut[len(test.cut)-1]]
+					record(other.send(testRequest{path: "/dialogue/a", key: key, body: "second;", program: fmt.Sprint("d", round, number), previous: first.attempt, budget: 1000, tokens: 100}), 1)
+				}
+			}
+			t.Logf("%d of %d first attempts served", served, sent)
+			is.True(sent-served <= sent/50)
+			for _, number := range test.cut {
+				is.True(fleet.hosts[number].Status().TargetsLost || test.mode == refusing)
+				fleet.hosts[number].targets.set(connected)
+			}
+			fleet.eventually(2*time.Second, "the hosts reach the targets themselves", func() bool {
+				for _, number := range test.cut {
+					if fleet.hosts[number].Status().TargetsLost {
+						return false
+					}
+				}
+				return true
+			})
+			for _, host := range fleet.hosts {
+				is.Equal(host.send(testRequest{path: "/filing/a", key: key}).status, 200)
+			}
+		})
+	}
+}
+
+// TestAllHostsWithoutTargets guards against requests that wait for targets that no
+// host reaches, and against hosts that pass a request on to each other.
+func TestAllHostsWithoutTargets(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	fleet.warmUp("/lookup/a", "/summary/a")
+	fleet.cut(hanging, 0, 1, 2)
+	for _, host := range fleet.hosts {
+		for _, path := range []string{"/lookup/a", "/filing/a", "/summary/a"} {
+			response := host.send(testRequest{path: path, key: key})
+			is.Equal(response.status, 503)
+			is.True(response.duration < 200*time.Millisecond)
+			is.True(response.header.Get("Retry-After") != "")
+			is.Equal(len(fleet.runsOf(response.attempt)), 0)
+		}
+	}
+	for _, host := range fleet.hosts {
+		host.targets.set(connected)
+	}
+	fleet.eventually(2*time.Second, "requests are served again", func() bool {
+		return fleet.hosts[0].send(testRequest{path: "/lookup/a", key: key}).status == 200
+	})
+}
