Send requests through other hosts while a host reaches no target

Such a host noticed the cut after half a second, but had no other path: each request tried four targets for 0.3 s each and was refused, while other hosts reached them all.

Now it keeps its decisions (rate, budget, history, target, version, permit, deadline, at most once) and has another host make the connection: the request goes to a host that reaches targets, of its data centre if there is one, which connects to the target and passes the bytes of the response back. That host never uses a third one, and says whether it is connected before it sends anything, so that 'not sent' stays certain; an exchange that is lost after that may have run. The target's ID goes with the request as always, and the other host connects to the address that it knows for it. Also before a host has found out: after two targets in a row have refused a connection. If no host reaches targets, requests are refused at once. A stopping host finishes the exchanges of others.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,9 +137,10 @@
 	gateway.transport = peer.NewTransport(settings.Host, gateway.self.Incarnation, settings.PeerSecret, clock, logger, gateway.mesh.Handler(mesh.Operations{
 		Store: gateway.directStore, Chain: gateway.histories.CachedChain, Push: gateway.histories.CacheTurns,
 		Release: gateway.allocator.Release, Reserve: gateway.reserver.HandleReserve, Settle: gateway.reserver.HandleSettle, DecideAdmission: gateway.limiter.Serve, ProgramStarted: gateway.reserver.Started,
-		GrantPermit: gateway.targetLimiter.Serve, Origins: gateway.origins,
+		GrantPermit: gateway.targetLimiter.Serve, Origins: gateway.origins, Exchange: gateway.serveExchange,
 	}))
 	gateway.mesh.SetTransport(gateway.transport)
+	gateway.pool.SetRelay(gateway.mesh)
 	gateway.configuration = newConfiguration(settings, gateway.store, clock, logger)
 	gateway.front = front.New(front.Dependencies{
 		Clock: clock, Logger: logger, Metrics: gateway.metrics, Configuration: gateway.configuration,
@@ -177,7 +178,7 @@
 	status := mesh.Status{
 		Stopping: gateway.stopping.Load(), StoreReachable: gateway.store.DirectReachable(), StoreFast: gateway.store.DirectFast(),
 		Load: gateway.registry.LocalLoad(), CrashCounts: gateway.crashTracker.LocalCrashes(gateway.clock.Now()),
-		TargetLimits: gateway.targetLimits.Reports(gateway.clock.Now()),
+		TargetLimits: gateway.targetLimits.Reports(gateway.clock.Now()), TargetsLost: gateway.pool.Lost(),
 	}
 	if table := gateway.configuration.Table(); table != nil {
 		status.Version = table.Version()
@@ -296,6 +297,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	err := gateway.callerServer.shutdown(ctx)
+	gateway.awaitExchanges(ctx)
 	gateway.cancel()
 	for _, server := range gateway.servers {
 		// These listeners need no drain, because the host already reports that
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -12,6 +12,7 @@
 	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/origin"
+	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/quota"
 	"github.com/godwitspread/godwitspread/internal/store"
@@ -35,6 +36,7 @@
 	methodPushOrigin = "push_origin"
 	methodFindOrigin = "find_origin"
 	methodVersions   = "versions"
+	methodExchange   = "exchange"
 )
 
 // Operations are the functions of this host that other hosts can call.
@@ -47,8 +49,9 @@
 	Settle          func(settlement budget.Settlement)
 	DecideAdmission func(request quota.AdmissionRequest) quota.AdmissionResponse // decides as the coordinator of a workspace
 	ProgramStarted  func(program string) bool
-	GrantPermit     func(request capacity.PermitRequest) capacity.PermitResponse // decides as the coordinator of a target
-	Origins         *origin.Resolver                                             // streams that this host knows
+	GrantPermit     func(request capacity.PermitRequest) capacity.PermitResponse                                               // decides as the coordinator of a target
+	Origins         *origin.Resolver                                                                                           // streams that this host knows
+	Exchange        func(ctx context.Context, request outbound.ExchangeRequest, send func(outbound.ExchangeChunk) error) error // sends another host's request to a target
 }
 
 type findRequest struct {
@@ -172,6 +175,13 @@
 		methodPermit: unaryHandler(func(_ context.Context, request capacity.PermitRequest) (capacity.PermitResponse, error) {
 			return operations.GrantPermit(request), nil
 		}),
+		methodExchange: func(ctx context.Context, request peer.Request, send func(any) error) error {
+			var argument outbound.ExchangeRequest
+			if err := request.Decode(&argument); err != nil {
+				return err
+			}
+			return operations.Exchange(ctx, argument, func(chunk outbound.ExchangeChunk) error { return send(chunk) })
+		},
 		methodPushOrigin: unaryHandler(func(_ context.Context, record origin.Record) (emptyResponse, error) {
 			operations.Origins.Store(record)
 			return emptyResponse{}, nil
--- /dev/null
+++ b/internal/mesh/exchange.go
@@ -0,0 +1,98 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/godwitspread/godwitspread/internal/outbound"
+	"github.com/godwitspread/godwitspread/internal/peer"
+)
+
+const (
+	exchangeHosts          = 3                      // hosts asked to send one request
+	exchangeConnectTimeout = 150 * time.Millisecond // to connect to another host
+)
+
+// Available implements outbound.Relay.
+func (mesh *Mesh) Available() bool {
+	_, found := mesh.exchangeHost(nil)
+	return found
+}
+
+// exchangeHost returns a random reachable host that reaches targets, of this data
+// centre if there is one. It skips the hosts that were tried.
+func (mesh *Mesh) exchangeHost(tried map[string]bool) (Member, bool) {
+	var local, remote []Member
+	for _, status := range mesh.ReachableStatuses() {
+		if status.Stopping || status.TargetsLost || tried[status.Member.Host] {
+			continue
+		}
+		if status.Member.DataCentre == mesh.self.DataCentre {
+			local = append(local, status.Member)
+		} else {
+			remote = append(remote, status.Member)
+		}
+	}
+	candidates := local
+	if len(candidates) == 0 {
+		candidates = remote
+	}
+	if len(candidates) == 0 {
+		return Member{}, false
+	}
+	return candidates[rand.IntN(len(candidates))], true
+}
+
+// Exchange implements outbound.Relay. It asks another host only while the target
+// cannot have received the request.
+func (mesh *Mesh) Exchange(ctx context.Context, request outbound.ExchangeRequest, receive func([]byte) error) error {
+	tried := make(map[string]bool)
+	for range exchangeHosts {
+		member, found := mesh.exchangeHost(tried)
+		if !found {
+			break
+		}
+		tried[member.Host] = true
+		connectCtx, cancel := context.WithTimeout(ctx, exchangeConnectTimeout)
+		err := mesh.transport.Connect(connectCtx, member.Address)
+		cancel()
+		if err != nil {
+			continue
+		}
+		refused, err := mesh.exchangeThrough(ctx, member, request, receive)
+		switch refused {
+		case outbound.HostUnable:
+			continue
+		case outbound.TargetUnreachable:
+			return fmt.Errorf("host %q cannot connect to target %q: %w", member.Host, request.Target, outbound.ErrNotSent)
+		}
+		return err
+	}
+	return fmt.Errorf("target %q: %w", request.Target, outbound.ErrNotSent)
+}
+
+// exchangeThrough makes an exchange through a host. It returns why the host has
+// refused it, if so.
+func (mesh *Mesh) exchangeThrough(ctx context.Context, member Member, request outbound.ExchangeRequest, receive func([]byte) error) (outbound.Refusal, error) {
+	refused, connected := outbound.Accepted, false
+	err := mesh.transport.Call(ctx, member.Address, methodExchange, request, func(value peer.Value) error {
+		var chunk outbound.ExchangeChunk
+		if err := value.Decode(&chunk); err != nil {
+			return err
+		}
+		if !connected {
+			connected, refused = chunk.Refusal == outbound.Accepted, chunk.Refusal
+			if !connected {
+				return nil
+			}
+			return receive(nil)
+		}
+		if len(chunk.Data) == 0 {
+			return nil
+		}
+		return receive(chunk.Data)
+	})
+	return refused, err
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -50,6 +50,7 @@
 	RecentMembers  []Member                   `msgpack:"k,omitempty"` // discovered in the last seconds
 	CrashCounts    map[uint64]int             `msgpack:"q,omitempty"` // target crashes, by the digest of the request that was running
 	TargetLimits   map[string]capacity.Report `msgpack:"r,omitempty"` // request limits that targets announced to the host, by target
+	TargetsLost    bool                       `msgpack:"u,omitempty"` // the host can connect to no target
 }
 
 // memberState is another host with its last known status.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
@@ -184,3 +186,77 @@
 		is.NoErr(server.Close())
 	}
 }
+
+// TestExchange guards against sending a request through a second host when the target
+// may have received it, and against giving up while another host can send it.
+func TestExchange(t *testing.T) {
+	accept := func(_ context.Context, _ outbound.ExchangeRequest, send func(outbound.ExchangeChunk) error) error {
+		if err := send(outbound.ExchangeChunk{}); err != nil {
+			return err
+		}
+		return send(outbound.ExchangeChunk{Data: []byte("response")})
+	}
+	refuse := func(refusal outbound.Refusal) func(context.Context, outbound.ExchangeRequest, func(outbound.ExchangeChunk) error) error {
+		return func(_ context.Context, _ outbound.ExchangeRequest, send func(outbound.ExchangeChunk) error) error {
+			return send(outbound.ExchangeChunk{Refusal: refusal})
+		}
+	}
+	fail := func(context.Context, outbound.ExchangeRequest, func(outbound.ExchangeChunk) error) error {
+		return errors.New("connection reset")
+	}
+	type exchange = func(context.Context, outbound.ExchangeRequest, func(outbound.ExchangeChunk) error) error
+	tests := []struct {
+		name    string
+		local   exchange // of the host in this data centre, which is asked first
+		remote  exchange
+		down    bool // the local host does not respond
+		served  bool
+		notSent bool
+		asked   int // hosts
+	}{
+		{"local host", accept, accept, false, true, false, 1},
+		{"local host has lost its targets as well", refuse(outbound.HostUnable), accept, false, true, false, 2},
+		{"local host is down", nil, accept, true, true, false, 1},
+		{"target is down", refuse(outbound.TargetUnreachable), accept, false, false, true, 1},
+		{"no host is able", refuse(outbound.HostUnable), refuse(outbound.HostUnable), false, false, true, 2},
+		{"outcome unknown", fail, accept, false, false, false, 1},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.Default}
+		var asked atomic.Int64
+		mesh := newTestMesh(clock, "a1", "a")
+		transport := peer.NewTransport("a1", "a1/1", "secret", clock, logger, mesh.Handler(Operations{}))
+		mesh.SetTransport(transport)
+		for host, serve := range map[string]exchange{"a2": test.local, "b1": test.remote} {
+			counting := func(ctx context.Context, request outbound.ExchangeRequest, send func(outbound.ExchangeChunk) error) error {
+				asked.Add(1)
+				return serve(ctx, request, send)
+			}
+			server := peer.NewTransport(host, host+"/1", "secret", clock, logger, newTestMesh(clock, host, host[:1]).Handler(Operations{Exchange: counting}))
+			is.NoErr(server.Listen("127.0.0.1:0"))
+			status := statusOf(host, host[:1])
+			status.Member.Address = server.Address()
+			if host == "a2" && test.down {
+				is.NoErr(server.Close())
+			}
+			mesh.ObserveStatus(status)
+			t.Cleanup(func() { _ = server.Close() })
+		}
+		is.True(mesh.Available())
+		var received []byte
+		err := mesh.Exchange(context.Background(), outbound.ExchangeRequest{Target: "t"}, func(data []byte) error {
+			received = append(received, data...)
+			return nil
+		})
+		is.Equal(err == nil && string(received) == "response", test.served) // test.name
+		is.Equal(errors.Is(err, outbound.ErrNotSent), test.notSent)         // test.name
+		is.Equal(int(asked.Load()), test.asked)                             // test.name
+		lost, stopping := statusOf("a2", "a"), statusOf("b1", "b")
+		lost.TargetsLost, stopping.Stopping = true, true
+		mesh.ObserveStatus(lost)
+		mesh.ObserveStatus(stopping)
+		is.True(!mesh.Available()) // neither a host without targets nor one that is stopping
+		is.NoErr(transport.Close())
+	}
+}
--- a/internal/outbound/check.go
+++ b/internal/outbound/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 )
 
@@ -26,13 +28,21 @@
 // of them can be connected to. It returns whether that has changed, and for how long
 // the targets were lost if they are reached again.
 func (pool *Pool) Check(ctx context.Context, sample []Endpoint) (lostFor time.Duration, changed bool) {
-	return pool.reachability.decide(len(sample) > 0 && !pool.connectsToAny(ctx, sample))
+	connects, refused := pool.connectsToAny(ctx, sample)
+	lostFor, changed = pool.reachability.decide(len(sample) > 0 && !connects)
+	if changed && pool.Lost() && !refused {
+		// Connections on which a cut shows as silence would keep requests waiting.
+		pool.CloseIdle(func(string) bool { return false })
+	}
+	return lostFor, changed
 }
 
-// connectsToAny reports whether any of the targets can be connected to.
-func (pool *Pool) connectsToAny(ctx context.Context, sample []Endpoint) bool {
+// connectsToAny reports whether any of the targets can be connected to, and if not,
+// whether all of them refuse connections.
+func (pool *Pool) connectsToAny(ctx context.Context, sample []Endpoint) (connects, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
+	refused = true
 	results := make(chan error, len(sample))
 	for _, endpoint := range sample {
 		go func() {
@@ -44,9 +54,11 @@
 		}()
 	}
 	for range sample {
-		if err := <-results; err == nil {
-			return true
+		err := <-results
+		if err == nil {
+			return true, false
 		}
+		refused = refused && errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return false
+	return false, refused
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -59,6 +59,8 @@
 	clock        clockwork.Clock
 	reachability *reachability
 	dial         DialFunc
+	relay        Relay        // nil if there are no other hosts
+	relayed      atomic.Int64 // exchanges in progress for other hosts
 
 	mutex      sync.Mutex
 	idle       map[string][]*conn // by target ID and address, oldest first
@@ -71,6 +73,7 @@
 	net.Conn
 	reachability *reachability
 	inFlight     atomic.Bool // a request waits for the target
+	relayed      bool        // through another host; the connection carries one request
 	reader       *bufio.Reader
 	reused       bool // an earlier request was sent on the connection
 	readingHead  bool
@@ -131,6 +134,10 @@
 // the first request.
 func (pool *Pool) SetDial(dial DialFunc) { pool.dial = dial }
 
+// SetRelay sets the path to targets through other hosts. It must be called before
+// the first request.
+func (pool *Pool) SetRelay(relay Relay) { pool.relay = relay }
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return dialer.DialContext(ctx, "tcp", address)
@@ -237,7 +244,7 @@
 // reused. The caller must have read the whole body.
 func (response *Response) Release() {
 	response.conn.end()
-	if !response.stop() || response.Close || response.ContentLength < 0 && !chunked(response.Response) {
+	if !response.stop() || response.Close || response.conn.relayed || response.ContentLength < 0 && !chunked(response.Response) {
 		response.conn.Close()
 		return
 	}
@@ -304,11 +311,31 @@
 		}
 		connection.Close()
 	}
+	if pool.Lost() {
+		return pool.acquireRelayed(ctx, id, ErrTargetsLost)
+	}
 	opened, err := pool.connect(ctx, id, address)
-	if err != nil {
+	if err == nil {
+		return newConn(opened, key, pool.reachability), nil
+	}
+	if ctx.Err() == nil && pool.reachability.mostlyFailing() {
+		return pool.acquireRelayed(ctx, id, err)
+	}
+	return nil, err
+}
+
+// ErrTargetsLost is returned if neither this host nor another one reaches targets.
+var ErrTargetsLost = errors.New("no host reaches targets")
+
+// acquireRelayed returns a connection to a target through another host. It returns
+// the given error if no other host reaches targets.
+func (pool *Pool) acquireRelayed(ctx context.Context, id string, err error) (*conn, error) {
+	if pool.relay == nil || !pool.relay.Available() {
 		return nil, err
 	}
-	return newConn(opened, key, pool.reachability), nil
+	connection := newConn(newRelayedConn(ctx, pool.relay, id), "", newReachability(pool.clock))
+	connection.relayed = true
+	return connection, nil
 }
 
 // connect opens a connection to a target.
--- a/internal/outbound/reachability.go
+++ b/internal/outbound/reachability.go
@@ -69,6 +69,14 @@
 	reachability.failed[id] = true
 }
 
+// mostlyFailing reports whether several targets in a row could not be connected to.
+// A single one is more likely down than the host is cut off.
+func (reachability *reachability) mostlyFailing() bool {
+	reachability.mutex.Lock()
+	defer reachability.mutex.Unlock()
+	return len(reachability.failed) > 1
+}
+
 // suspect reports whether the host may have lost all targets, or has and may reach
 // them again. A check must follow.
 func (reachability *reachability) suspect() bool {
--- a/internal/outbound/reachability_test.go
+++ b/internal/outbound/reachability_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -70,9 +71,9 @@
 	clock := clockwork.NewFakeClock()
 	pool := NewPool(clock)
 	address := startTarget(t, func(net.Conn, *bufio.Reader) {})
-	cut := map[string]bool{}
+	var cut sync.Map // addresses
 	pool.SetDial(func(ctx context.Context, dialed string) (net.Conn, error) {
-		if cut[dialed] {
+		if _, isCut := cut.Load(dialed); isCut {
 			return nil, errors.New("connection refused")
 		}
 		return dialTCP(ctx, address)
@@ -80,16 +81,16 @@
 	sample := []Endpoint{{"one", "a:1"}, {"two", "b:1"}}
 	_, changed := pool.Check(context.Background(), sample)
 	is.True(!changed && !pool.Lost())
-	cut["a:1"] = true
+	cut.Store("a:1", true)
 	_, changed = pool.Check(context.Background(), sample)
 	is.True(!changed && !pool.Lost())
-	cut["b:1"] = true
+	cut.Store("b:1", true)
 	_, changed = pool.Check(context.Background(), sample)
 	is.True(changed && pool.Lost() && pool.Suspect())
 	clock.Advance(3 * time.Second)
 	_, changed = pool.Check(context.Background(), sample)
 	is.True(!changed && pool.Lost())
-	cut["a:1"] = false
+	cut.Delete("a:1")
 	lostFor, changed := pool.Check(context.Background(), sample)
 	is.True(changed && !pool.Lost() && !pool.Suspect())
 	is.Equal(lostFor, 3*time.Second)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -96,6 +96,12 @@
 	transport.mutex.Unlock()
 }
 
+// Connect opens a connection to the host at the address, unless there is one.
+func (transport *Transport) Connect(ctx context.Context, address string) error {
+	_, err := transport.dial(ctx, address)
+	return err
+}
+
 // Call calls a method on the host at the address and runs onValue for each value
 // of the response. The error wraps ErrConnection if the host was unreachable or
 // the connection was lost.
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -130,15 +130,21 @@
 	}
 }
 
-// Version returns the software version of the target with an ID, if it is known.
-func (registry *Registry) Version(id string) (string, bool) {
+// Target returns the target with an ID, if it is known.
+func (registry *Registry) Target(id string) (Target, bool) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	state, ok := registry.targets[id]
 	if !ok {
-		return "", false
+		return Target{}, false
 	}
-	return state.target.Version, true
+	return state.target, true
+}
+
+// Version returns the software version of the target with an ID, if it is known.
+func (registry *Registry) Version(id string) (string, bool) {
+	target, known := registry.Target(id)
+	return target.Version, known
 }
 
 // Len returns the number of targets.
