Do not take a request for one that crashes targets when the host has lost them

A request whose connection was reset counts as the cause of a crash if the target then refuses connections. A host that loses all targets sees just that on each of them: two requests with the same content in flight, and all hosts refused it for five minutes. Found by reading, while looking for where else a host without targets blames them.

A target counts as crashed if it refuses connections while another one accepts them, or if another host finds the same: a host without targets asks one that reaches them.

TestCutIsNoCrash failed before (503 for the same content after the cut) and passes, with outbound.TestCrashed; TestRequestThatCrashesTargets as before.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -27,6 +27,7 @@
 	minPlainTimeout       = 400 * time.Millisecond
 	minStreamTimeout      = time.Second
 	minRetryMillis        = 20 // time left up to which no further target is tried
+	crashWitnesses        = 3  // other targets that are connected to before a target counts as crashed
 )
 
 // servePlain serves a request that has a single response. It buffers the whole
@@ -165,7 +166,7 @@
 func (exchange *exchange) recordLostResponse(ctx context.Context, target placement.Target, err error) {
 	handler := exchange.handler
 	var netError net.Error
-	crashed := !(errors.As(err, &netError) && netError.Timeout()) && handler.pool.Refuses(ctx, target.Address)
+	crashed := !(errors.As(err, &netError) && netError.Timeout()) && handler.pool.Crashed(ctx, outbound.Endpoint{ID: target.ID, Address: target.Address}, handler.otherTargets(target.ID))
 	if crashed {
 		handler.crashTracker.RecordCrash(exchange.digest, handler.clock.Now())
 		handler.metrics.Count("target_crashes")
@@ -173,6 +174,15 @@
 	handler.logger.WithFields(exchange.logFields()).WithFields(log.Fields{"target": target.ID, "crashed": crashed}).WithError(err).Info("target returned no complete response")
 }
 
+// otherTargets returns some targets other than the one with an ID.
+func (handler *Handler) otherTargets(id string) []outbound.Endpoint {
+	var others []outbound.Endpoint
+	for _, target := range handler.registry.Sample(crashWitnesses, id) {
+		others = append(others, outbound.Endpoint{ID: target.ID, Address: target.Address})
+	}
+	return others
+}
+
 // mayRetry reports whether another target may run a request that a target may
 // already have run.
 func (exchange *exchange) mayRetry() bool {
--- a/internal/gateway/lost_targets_test.go
+++ b/internal/gateway/lost_targets_test.go
@@ -123,3 +123,24 @@
 		return fleet.hosts[0].send(testRequest{path: "/lookup/a", key: key}).status == 200
 	})
 }
+
+// TestCutIsNoCrash guards against refusing a request as one that crashes targets,
+// because it was in flight when its host lost them.
+func TestCutIsNoCrash(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	for _, tool := range fleet.tools {
+		tool.Work = 400 * time.Millisecond
+	}
+	request := testRequest{path: "/lookup/same", key: key, body: "same"}
+	timer := time.AfterFunc(200*time.Millisecond, func() { fleet.hosts[0].targets.set(resetting) })
+	defer timer.Stop()
+	fleet.drive(request, fleet.hosts[:1], 20*time.Millisecond, 150*time.Millisecond)
+	fleet.hosts[0].targets.set(connected)
+	fleet.eventually(2*time.Second, "the host reaches the targets itself", func() bool { return !fleet.hosts[0].Status().TargetsLost })
+	time.Sleep(500 * time.Millisecond) // hosts tell each other of crashes
+	for _, host := range fleet.hosts {
+		is.Equal(host.send(request).status, 200)
+	}
+}
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -124,11 +123,9 @@
 		return
 	}
 	gateway.targetsCheckedAt = gateway.clock.Now()
-	targets := gateway.registry.Targets()
-	mathrand.Shuffle(len(targets), func(left, right int) { targets[left], targets[right] = targets[right], targets[left] })
 	var sample []outbound.Endpoint
 	var ids []string
-	for _, target := range targets[:min(checkedTargets, len(targets))] {
+	for _, target := range gateway.registry.Sample(checkedTargets, "") {
 		sample = append(sample, outbound.Endpoint{ID: target.ID, Address: target.Address})
 		ids = append(ids, target.ID)
 	}
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -67,6 +67,8 @@
 			continue
 		case outbound.TargetUnreachable:
 			return fmt.Errorf("host %q cannot connect to target %q: %w", member.Host, request.Target, outbound.ErrNotSent)
+		case outbound.TargetRefuses:
+			return fmt.Errorf("host %q cannot connect to target %q: %w: %w", member.Host, request.Target, outbound.ErrRefused, outbound.ErrNotSent)
 		}
 		return err
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -218,6 +218,7 @@
 		{"local host has lost its targets as well", refuse(outbound.HostUnable), accept, false, true, false, 2},
 		{"local host is down", nil, accept, true, true, false, 1},
 		{"target is down", refuse(outbound.TargetUnreachable), accept, false, false, true, 1},
+		{"target refuses connections", refuse(outbound.TargetRefuses), accept, false, false, true, 1},
 		{"no host is able", refuse(outbound.HostUnable), refuse(outbound.HostUnable), false, false, true, 2},
 		{"outcome unknown", fail, accept, false, false, false, 1},
 	}
--- a/internal/outbound/check.go
+++ b/internal/outbound/check.go
@@ -37,6 +37,25 @@
 	return lostFor, changed
 }
 
+// Crashed reports whether a target refuses connections because its process has
+// ended: others accept them, or another host finds the same. A host that has lost all
+// targets may see each of them refuse connections.
+func (pool *Pool) Crashed(ctx context.Context, target Endpoint, others []Endpoint) bool {
+	if !pool.Lost() {
+		if !pool.Refuses(ctx, target.Address) {
+			return false
+		}
+		if connects, _ := pool.connectsToAny(ctx, others); connects || len(others) == 0 {
+			return true
+		}
+	}
+	if pool.relay == nil {
+		return false
+	}
+	err := pool.relay.Exchange(ctx, ExchangeRequest{Target: target.ID}, func([]byte) error { return nil })
+	return errors.Is(err, ErrRefused)
+}
+
 // connectsToAny reports whether any of the targets can be connected to, and if not,
 // whether all of them refuse connections.
 func (pool *Pool) connectsToAny(ctx context.Context, sample []Endpoint) (connects, refused bool) {
--- a/internal/outbound/relay.go
+++ b/internal/outbound/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -14,6 +15,9 @@
 // received the request.
 var ErrNotSent = errors.New("no other host could send the request")
 
+// ErrRefused is returned, with ErrNotSent, if the target refuses connections.
+var ErrRefused = errors.New("target refuses connections")
+
 // Relay sends requests to targets through other hosts.
 type Relay interface {
 	// Available reports whether another host reaches targets.
@@ -28,7 +32,7 @@
 // ExchangeRequest asks another host to send a request to a target.
 type ExchangeRequest struct {
 	Target  string `msgpack:"t"` // ID of the target
-	Message []byte `msgpack:"m"`
+	Message []byte `msgpack:"m"` // empty to find out whether the target accepts connections
 }
 
 // Refusal is the reason for which a host does not send another host's request.
@@ -38,7 +42,8 @@
 const (
 	Accepted          Refusal = iota
 	HostUnable                // the host reaches no targets itself, does not know this one, or is busy
-	TargetUnreachable         // the target does not accept connections
+	TargetUnreachable         // the target does not respond
+	TargetRefuses             // the target refuses connections
 )
 
 // ExchangeChunk is a part of the response to an ExchangeRequest. The first one tells
@@ -163,12 +168,15 @@
 	}
 	defer pool.relayed.Add(-1)
 	connection, err := pool.connect(ctx, request.Target, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return send(ExchangeChunk{Refusal: TargetRefuses})
+	}
 	if err != nil {
 		return send(ExchangeChunk{Refusal: TargetUnreachable})
 	}
 	defer connection.Close()
 	defer context.AfterFunc(ctx, func() { connection.Close() })()
-	if err := send(ExchangeChunk{}); err != nil {
+	if err := send(ExchangeChunk{}); err != nil || len(request.Message) == 0 {
 		return err
 	}
 	if _, err := connection.Write(request.Message); err != nil {
--- a/internal/outbound/relay_test.go
+++ b/internal/outbound/relay_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -143,7 +144,7 @@
 				_ = socket.(*net.TCPConn).SetLinger(0)
 			}
 		}, false, Accepted, "", true},
-		{"target is down", nil, false, TargetUnreachable, "", false},
+		{"target is down", nil, false, TargetRefuses, "", false},
 		{"host has lost its targets", nil, true, HostUnable, "", false},
 	}
 	for _, test := range tests {
@@ -213,3 +214,42 @@
 	}
 	is.Equal(exchanges, 1)
 }
+
+// TestCrashed guards against taking a target for crashed by a request because this host
+// has lost all targets, and against missing a crash.
+func TestCrashed(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	answer := func(err error) fakeRelay {
+		return fakeRelay{exchange: func(context.Context, ExchangeRequest, func([]byte) error) error { return err }}
+	}
+	tests := []struct {
+		name    string
+		target  error // of connecting to the target
+		other   error // of connecting to another one
+		relay   Relay
+		crashed bool
+	}{
+		{"target refuses, another one accepts", refused, nil, nil, true},
+		{"target accepts", nil, nil, nil, false},
+		{"target does not respond", context.DeadlineExceeded, nil, nil, false},
+		{"all refuse, no other host", refused, refused, nil, false},
+		{"all refuse, other hosts reach the target", refused, refused, answer(nil), false},
+		{"all refuse, the target refuses other hosts as well", refused, refused, answer(fmt.Errorf("%w: %w", ErrRefused, ErrNotSent)), true},
+		{"all refuse, the target does not respond to other hosts", refused, refused, answer(ErrNotSent), false},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		pool := NewPool(clockwork.NewRealClock())
+		address := startTarget(t, func(net.Conn, *bufio.Reader) {})
+		pool.SetDial(func(ctx context.Context, dialed string) (net.Conn, error) {
+			if err := map[string]error{"target:1": test.target, "other:1": test.other}[dialed]; err != nil {
+				return nil, err
+			}
+			return dialTCP(ctx, address)
+		})
+		if test.relay != nil {
+			pool.SetRelay(test.relay)
+		}
+		is.Equal(pool.Crashed(context.Background(), Endpoint{"t", "target:1"}, []Endpoint{{"o", "other:1"}}), test.crashed) // test.name
+	}
+}
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -141,6 +141,23 @@
 	return state.target, true
 }
 
+// Sample returns a number of random targets other than the one with an ID.
+func (registry *Registry) Sample(count int, except string) []Target {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	targets := make([]Target, 0, len(registry.targets))
+	for id, state := range registry.targets {
+		if id != except {
+			targets = append(targets, state.target)
+		}
+	}
+	for index := range min(count, len(targets)) {
+		other := index + registry.policy.RandomInt(len(targets)-index)
+		targets[index], targets[other] = targets[other], targets[index]
+	}
+	return targets[:min(count, len(targets))]
+}
+
 // Version returns the software version of the target with an ID, if it is known.
 func (registry *Registry) Version(id string) (string, bool) {
 	target, known := registry.Target(id)
