Wait for a silent target if no other one can run the request

A stream whose target falls silent is moved after 0.9 s. Bound to a software version, it may have nowhere to go: it was cut off although its target would have gone on after a second. Likewise a request without its first event after 1 s, if all other targets of the service are a last resort.

A request now leaves a target that is only silent if another one may run it; otherwise it waits until its deadline.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -108,11 +108,19 @@
 	return response, head, nil
 }
 
+// mayMove reports whether the request may leave a target that is running it for
+// another one. A target that is only silent for a while is worth waiting for if there
+// is no other.
+func (exchange *exchange) mayMove() bool {
+	return exchange.route.Idempotent() && exchange.possibleRuns+1 < exchange.route.MaxRuns &&
+		exchange.handler.registry.HasAlternative(exchange.placementRequest(), exchange.handler.clock.Now())
+}
+
 // responseTimeout returns how long a target may take to begin its response
 // before another one is tried: a multiple of the route's latency objective. It
-// returns 0, no timeout, for a request that must not run again.
+// returns 0, no timeout, for a request that cannot move to another one.
 func (exchange *exchange) responseTimeout() time.Duration {
-	if !exchange.route.Idempotent() || exchange.possibleRuns+1 >= exchange.route.MaxRuns {
+	if !exchange.mayMove() {
 		return 0
 	}
 	if exchange.route.Kind == route.Streaming {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -134,10 +134,12 @@
 	reader := bufio.NewReader(response.Body)
 	stallTimeout := max(minStallTimeout, stallFactor*exchange.route.MaxEventGap)
 	for {
-		if exchange.route.Idempotent() && exchange.possibleRuns+1 < exchange.route.MaxRuns {
-			if err := response.SetReadTimeout(ctx, stallTimeout); err != nil {
-				return err
-			}
+		timeout := time.Duration(0)
+		if exchange.mayMove() {
+			timeout = stallTimeout
+		}
+		if err := response.SetReadTimeout(ctx, timeout); err != nil {
+			return err
 		}
 		event, err := readEvent(reader)
 		if cause := ctx.Err(); cause != nil {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -132,6 +132,19 @@
 	return !target.Draining && (request.Version == "" || target.Version == request.Version) && !contains(request.Tried, target.ID)
 }
 
+// HasAlternative reports whether another target may run the request, apart from those
+// that are a last resort.
+func (registry *Registry) HasAlternative(request Request, now time.Time) bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	for _, state := range registry.byService[request.Service] {
+		if request.accepts(state.target) && !registry.lastResort(state, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the targets that may run a request and are not paused,
 // beginning with the random sample. It returns last-resort targets only if there are no others. The
 // result is valid until the next call, which reuses its memory.
