--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -130,23 +130,23 @@
 
 // exchange is the state of one request and its response.
 type exchange struct {
-	handler      *Handler
-	writer       http.ResponseWriter
-	request      *request.Request
-	route        *route.Route
-	workspace    *route.Workspace
-	service      string
-	version      string // software version at which the stream began; empty until then
-	arrivedAt    time.Time
-	deadline     time.Time
-	body         []byte
-	digest       uint64         // hash of the content, identifies requests that crash targets
-	triedTargets []string       // IDs of the targets that the request was sent to
-	versions     []string       // software versions of these targets
-	possibleRuns int            // number of targets that may have run the request
-	waitTime     time.Duration  // time spent waiting for the store and other hosts
-	rateCharged  bool           // the request counts against the workspace's rate
-	settleBudget func(used int) // settles the turn's budget reservation
+	handler       *Handler
+	writer        http.ResponseWriter
+	request       *request.Request
+	route         *route.Route
+	workspace     *route.Workspace
+	service       string
+	version       string // software version at which the stream began; empty until then
+	arrivedAt     time.Time
+	deadline      time.Time
+	body          []byte
+	digest        uint64         // hash of the content, identifies requests that crash targets
+	triedTargets  []string       // IDs of the targets that the request was sent to
+	triedVersions []string       // software versions of these targets
+	possibleRuns  int            // number of targets that may have run the request
+	waitTime      time.Duration  // time spent waiting for the store and other hosts
+	rateCharged   bool           // the request counts against the workspace's rate
+	settleBudget  func(used int) // settles the turn's budget reservation
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -88,7 +88,7 @@
 	if len(exchange.triedTargets) == 0 {
 		exchange.handler.metrics.ObserveLatency("dispatch_delay", exchange.handler.clock.Since(exchange.arrivedAt)-exchange.waitTime)
 	}
-	exchange.triedTargets, exchange.versions = append(exchange.triedTargets, target.ID), append(exchange.versions, target.Version)
+	exchange.triedTargets, exchange.triedVersions = append(exchange.triedTargets, target.ID), append(exchange.triedVersions, target.Version)
 	attempt := exchange.request.Attempt
 	matches := func(status int, header http.Header, reused bool) bool {
 		echoed := platform.DecodeResponse(status, header).Attempt
--- a/internal/front/rejection.go
+++ b/internal/front/rejection.go
@@ -101,8 +101,8 @@
 	if exchange.resumed() {
 		fields["resumes"], fields["last_event"] = exchange.request.Resumes, exchange.request.LastEvent
 	}
-	if len(exchange.versions) > 1 || len(exchange.versions) == 1 && exchange.resumed() {
-		fields["versions"] = exchange.versions
+	if len(exchange.triedVersions) > 1 || len(exchange.triedVersions) == 1 && exchange.resumed() {
+		fields["versions"] = exchange.triedVersions
 	}
 	return fields
 }
