--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -2,7 +2,6 @@
 package outbound
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -17,8 +16,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-
-	"github.com/godwitspread/godwitspread/internal/socket"
 )
 
 const (
@@ -68,63 +65,6 @@
 	opened     int64
 }
 
-// conn is a connection to a target.
-type conn struct {
-	net.Conn
-	reachability *reachability
-	inFlight     atomic.Bool // a request waits for the target
-	relayed      bool        // through another host; the connection carries one request
-	reader       *bufio.Reader
-	reused       bool // an earlier request was sent on the connection
-	readingHead  bool
-	headBytes    int       // bytes read since the head of the response began
-	key          string    // ID and address of the target
-	idleSince    time.Time // set while the connection is in the pool
-	idleTimeout  time.Duration
-}
-
-var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
-
-// Read implements io.Reader. It limits the bytes read for the head of a response.
-func (connection *conn) Read(buffer []byte) (int, error) {
-	if connection.readingHead && connection.headBytes >= maxHeadBytes {
-		return 0, errHeadTooLarge
-	}
-	count, err := connection.Conn.Read(buffer)
-	if count > 0 {
-		connection.reachability.heard()
-	}
-	connection.headBytes += count
-	return count, err
-}
-
-// readHead reads the head of a response.
-func (connection *conn) readHead(method string) (*http.Response, error) {
-	connection.readingHead, connection.headBytes = true, 0
-	defer func() { connection.readingHead = false }()
-	return http.ReadResponse(connection.reader, &http.Request{Method: method})
-}
-
-// begin records that a request is sent on the connection.
-func (connection *conn) begin() {
-	connection.inFlight.Store(true)
-	connection.reachability.begin()
-}
-
-// end records that the request on the connection has ended.
-func (connection *conn) end() {
-	if connection.inFlight.CompareAndSwap(true, false) {
-		connection.reachability.end()
-	}
-}
-
-// newConn returns a connection to the target with a key.
-func newConn(opened net.Conn, key string, reachability *reachability) *conn {
-	connection := &conn{Conn: opened, key: key, reachability: reachability}
-	connection.reader = bufio.NewReaderSize(connection, readBufferSize)
-	return connection
-}
-
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock) *Pool {
 	return &Pool{clock: clock, reachability: newReachability(clock), dial: dialTCP, idle: make(map[string][]*conn)}
@@ -297,144 +237,3 @@
 	}
 	return defaultIdleTimeout
 }
-
-// acquire returns an idle connection to a target, or opens one.
-func (pool *Pool) acquire(ctx context.Context, id, address string) (*conn, error) {
-	key := id + "@" + address
-	for {
-		connection := pool.popIdle(key)
-		if connection == nil {
-			break
-		}
-		if pool.clock.Since(connection.idleSince) < connection.idleTimeout && !socket.HasInput(connection.Conn) {
-			return connection, nil
-		}
-		connection.Close()
-	}
-	if pool.Lost() {
-		return pool.acquireRelayed(ctx, id, ErrTargetsLost)
-	}
-	opened, err := pool.connect(ctx, id, address)
-	if err == nil {
-		return newConn(opened, key, pool.reachability), nil
-	}
-	if ctx.Err() == nil && pool.reachability.mostlyFailing() {
-		return pool.acquireRelayed(ctx, id, err)
-	}
-	return nil, err
-}
-
-// ErrTargetsLost is returned if neither this host nor another one reaches targets.
-var ErrTargetsLost = errors.New("no host reaches targets")
-
-// acquireRelayed returns a connection to a target through another host. It returns
-// the given error if no other host reaches targets.
-func (pool *Pool) acquireRelayed(ctx context.Context, id string, err error) (*conn, error) {
-	if pool.relay == nil || !pool.relay.Available() {
-		return nil, err
-	}
-	connection := newConn(newRelayedConn(ctx, pool.relay, id), "", newReachability(pool.clock))
-	connection.relayed = true
-	return connection, nil
-}
-
-// connect opens a connection to a target.
-func (pool *Pool) connect(ctx context.Context, id, address string) (net.Conn, error) {
-	opened, err := pool.dial(ctx, address)
-	if err != nil {
-		if ctx.Err() == nil {
-			pool.reachability.connectFailed(id)
-		}
-		return nil, fmt.Errorf("connect to target %q: %w", id, err)
-	}
-	pool.reachability.connected()
-	pool.mutex.Lock()
-	pool.opened++
-	pool.mutex.Unlock()
-	return opened, nil
-}
-
-// popIdle removes and returns the connection that was used most recently.
-func (pool *Pool) popIdle(key string) *conn {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	list := pool.idle[key]
-	if len(list) == 0 {
-		return nil
-	}
-	last := list[len(list)-1]
-	pool.idle[key] = list[:len(list)-1]
-	return last
-}
-
-// release adds a connection to the pool. If the target has too many idle ones,
-// it closes the oldest.
-func (pool *Pool) release(connection *conn) {
-	if connection.reader.Buffered() > 0 || connection.idleTimeout <= 0 {
-		connection.Close()
-		return
-	}
-	if err := connection.SetDeadline(time.Time{}); err != nil {
-		connection.Close()
-		return
-	}
-	connection.idleSince = pool.clock.Now()
-	pool.mutex.Lock()
-	list := pool.idle[connection.key]
-	var oldest *conn
-	if len(list) >= pool.idleLimitOf(connection.key) {
-		oldest, list = list[0], list[1:]
-	}
-	pool.idle[connection.key] = append(list, connection)
-	pool.mutex.Unlock()
-	if oldest != nil {
-		oldest.Close()
-	}
-}
-
-// idleLimitOf returns the maximum number of idle connections for a key. The
-// caller must hold the mutex.
-func (pool *Pool) idleLimitOf(key string) int {
-	id, _, _ := strings.Cut(key, "@")
-	if limit, ok := pool.idleLimits[id]; ok {
-		return min(max(1, limit), maxIdlePerTarget)
-	}
-	return maxIdlePerTarget
-}
-
-// SetIdleLimits sets the maximum number of idle connections by target ID. The limits
-// must leave each target capacity for the connections that all hosts together have
-// in use.
-func (pool *Pool) SetIdleLimits(limits map[string]int) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	pool.idleLimits = limits
-}
-
-// CloseIdle closes the idle connections to targets for which keep returns
-// false, and those whose idle timeout has expired.
-func (pool *Pool) CloseIdle(keep func(id string) bool) {
-	pool.mutex.Lock()
-	var expired []*conn
-	now := pool.clock.Now()
-	for key, list := range pool.idle {
-		id, _, _ := strings.Cut(key, "@")
-		kept := list[:0]
-		for _, connection := range list {
-			if keep(id) && now.Sub(connection.idleSince) < connection.idleTimeout {
-				kept = append(kept, connection)
-			} else {
-				expired = append(expired, connection)
-			}
-		}
-		if len(kept) == 0 {
-			delete(pool.idle, key)
-		} else {
-			pool.idle[key] = kept
-		}
-	}
-	pool.mutex.Unlock()
-	for _, connection := range expired {
-		connection.Close()
-	}
-}
