--- a/internal/gateway/lost_targets_test.go
+++ b/internal/gateway/lost_targets_test.go
@@ -63,6 +63,8 @@
 				if response.status == 200 && response.complete {
 					served++
 					is.Equal(len(fleet.runsOf(response.attempt)), 1)
+				} else {
+					t.Logf("attempt %s: status %d %s after %v, %d runs", response.attempt, response.status, response.body, response.duration, len(fleet.runsOf(response.attempt)))
 				}
 				is.True(len(fleet.runsOf(response.attempt)) <= most)
 			}
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -172,3 +172,37 @@
 	fleet.store.Put("keyed.servers", "e-3", nil)
 	fleet.eventually(5*time.Second, "a stream goes on when only one version is left", func() bool { return resume(1).status == 200 })
 }
+
+// TestTargetChangesItsVersion guards against continuing a stream at the version that
+// its target had by its entry, if the target has restarted under its ID with another
+// one and may have done so before the stream began.
+func TestTargetChangesItsVersion(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	first := fleet.engines[0]
+	put := func(first, others string) {
+		for number, engine := range fleet.engines {
+			state := others
+			if number == 0 {
+				state = first
+			}
+			fleet.store.Put("keyed.servers", engine.ID, engine.Entry(state))
+		}
+		time.Sleep(entryPropagation)
+	}
+	first.Work = 300 * time.Millisecond
+	first.SetBehaviour(func(standin.Run) standin.Behaviour { return standin.Truncate })
+	put("ready", "draining")
+	responses := make(chan testResponse, 1)
+	go func() { responses <- fleet.hosts[0].send(testRequest{path: "/summary/a", key: key}) }()
+	time.Sleep(450 * time.Millisecond) // the caller has received an event
+	first.Version = "v2"
+	put("ready", "ready")
+	response := <-responses
+	is.Equal(response.status, 200)
+	is.True(!response.complete)
+	is.Equal(len(fleet.runsOf(response.attempt)), 1)
+	resumed := fleet.hosts[1].resume(response)
+	is.Equal(resumed.status, 503)
+	is.Equal(len(fleet.runsOf(resumed.attempt)), 0)
+}
