--- a/internal/gateway/lost_targets_test.go
+++ b/internal/gateway/lost_targets_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -146,3 +147,23 @@
 		is.Equal(host.send(request).status, 200)
 	}
 }
+
+// TestStopFinishesExchanges guards against a planned stop that cuts off requests which
+// the host sends for another one.
+func TestStopFinishesExchanges(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	fleet.cut(hanging, 0)
+	for _, tool := range fleet.tools {
+		tool.Work = 1800 * time.Millisecond // the host stops accepting after 1.5 s and ends after 2 s
+	}
+	responses := make(chan testResponse, 1)
+	go func() { responses <- fleet.hosts[0].send(testRequest{path: "/filing/a", key: key, body: "file this"}) }()
+	time.Sleep(20 * time.Millisecond)
+	fleet.hosts[1].stopped = true
+	is.NoErr(fleet.hosts[1].Stop(context.Background()))
+	response := <-responses
+	is.Equal(response.status, 200)
+	is.Equal(len(fleet.runsOf(response.attempt)), 1)
+}
