Close idle connections between hosts and shrink their queues

Callers saw nothing of it at 10 hosts. At 295 the hosts took 48 MB each on average, and the machine's memory was used up before the first request.

Cause: each connection between two hosts held a queue of 1,024 frames (74 KB), each call another one, and each connection sent two pings a second, used or not. Now a call with one response has a queue of 4 frames, a connection one of 64, whose senders wait; connections without calls send no pings and are closed by the host that dialed them after 5 s. A connection that leaves a ping unanswered for 250 ms gets no new calls (2 s before).

--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -42,11 +42,16 @@
 type Handler func(ctx context.Context, request Request, send func(value any) error) error
 
 const (
-	pingInterval        = 500 * time.Millisecond
-	livenessTimeout     = 2 * time.Second // a connection that receives nothing for longer is closed
-	writeTimeout        = 2 * time.Second
-	outgoingQueueFrames = 1024 // frames of a connection that wait to be written
-	incomingQueueFrames = 1024 // received frames that wait to be consumed by one call
+	pingInterval         = 500 * time.Millisecond
+	livenessTimeout      = 2 * time.Second        // a connection with calls that receives nothing for longer is closed
+	silenceTimeout       = 250 * time.Millisecond // after a ping without a response, after which new calls use another connection
+	idleTimeout          = 5 * time.Second        // without calls, after which the host that dialed a connection closes it
+	acceptedIdleTimeout  = 3 * idleTimeout        // the same for the other host, in case the first one is gone
+	writeTimeout         = 2 * time.Second
+	outgoingQueueFrames  = 64   // frames of a connection that wait to be written; senders wait while it is full
+	responseQueueFrames  = 4    // the same as incomingQueueFrames, for a call with one response
+	incomingQueueFrames  = 1024 // received frames that wait to be consumed by one call
+	connectionReadBuffer = 2048 // bytes; most frames are shorter
 )
 
 // connection multiplexes calls in both directions over one socket. The maps are
@@ -58,20 +63,23 @@
 	logger            log.Interface
 	handler           Handler
 	remote            hello
+	dialed            bool // by this host
 	outgoing          chan frame
 	done              chan struct{}
 	closeOnce         sync.Once
 	lastReceivedNanos atomic.Int64
+	probedAtNanos     atomic.Int64 // when a ping was sent because a call got no response; zero if a frame was received since
 	lastStream        atomic.Uint64
 
-	mutex   sync.Mutex
-	calls   map[uint64]chan frame
-	serving map[uint64]context.CancelFunc
+	mutex    sync.Mutex
+	calls    map[uint64]chan frame
+	serving  map[uint64]context.CancelFunc
+	lastUsed time.Time // when the last call ended or the first one began
 }
 
-func newConnection(socket net.Conn, clock clockwork.Clock, logger log.Interface, handler Handler) *connection {
+func newConnection(socket net.Conn, clock clockwork.Clock, logger log.Interface, handler Handler, dialed bool) *connection {
 	return &connection{
-		socket: socket, clock: clock, logger: logger, handler: handler, outgoing: make(chan frame, outgoingQueueFrames), done: make(chan struct{}),
+		socket: socket, dialed: dialed, lastUsed: clock.Now(), clock: clock, logger: logger, handler: handler, outgoing: make(chan frame, outgoingQueueFrames), done: make(chan struct{}),
 		calls: make(map[uint64]chan frame), serving: make(map[uint64]context.CancelFunc),
 	}
 }
@@ -105,12 +113,11 @@
 	return connection.socket.SetDeadline(time.Time{})
 }
 
-// start runs the goroutines that read frames, write frames and send pings.
+// start runs the goroutines that read and write frames.
 func (connection *connection) start() {
 	connection.lastReceivedNanos.Store(connection.clock.Now().UnixNano())
 	go connection.writeFrames()
 	go connection.readFrames()
-	go connection.sendPings()
 }
 
 // close closes the socket and ends all calls on the connection.
@@ -171,37 +178,55 @@
 	}
 }
 
-// sendPings sends a ping at each interval. It closes the connection if nothing
-// was received for livenessTimeout.
-func (connection *connection) sendPings() {
-	ticker := connection.clock.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-connection.done:
-			return
-		case <-ticker.Chan():
-			if connection.clock.Since(time.Unix(0, connection.lastReceivedNanos.Load())) > livenessTimeout {
-				connection.close()
-				return
-			}
-			select {
-			case connection.outgoing <- frame{Kind: kindPing}:
-			default:
-			}
-		}
+// maintain pings the other host while there are calls, and closes the connection if
+// it has gone silent, or if it is idle and retired. It reports whether a connection
+// that this host has dialed should be retired. The transport calls it at each
+// pingInterval.
+func (connection *connection) maintain(now time.Time, retired bool) (retire bool) {
+	connection.mutex.Lock()
+	active := len(connection.calls)+len(connection.serving) > 0
+	unused := now.Sub(connection.lastUsed)
+	connection.mutex.Unlock()
+	silent := now.Sub(time.Unix(0, connection.lastReceivedNanos.Load()))
+	switch {
+	case active && min(unused, silent) > livenessTimeout, !active && min(unused, silent) > acceptedIdleTimeout, !active && retired && unused >= pingInterval:
+		connection.close()
+	case active:
+		connection.ping()
+	default:
+		return connection.dialed && unused > idleTimeout
 	}
+	return false
+}
+
+func (connection *connection) ping() {
+	select {
+	case connection.outgoing <- frame{Kind: kindPing}:
+	default:
+	}
+}
+
+// silent reports whether the other host has not even responded to a ping. It is
+// called after a call without a response, and sends the ping the first time.
+func (connection *connection) silent() bool {
+	now := connection.clock.Now()
+	if connection.probedAtNanos.CompareAndSwap(0, now.UnixNano()) {
+		connection.ping()
+		return false
+	}
+	return now.Sub(time.Unix(0, connection.probedAtNanos.Load())) >= silenceTimeout
 }
 
 func (connection *connection) readFrames() {
 	defer connection.close()
-	reader := bufio.NewReader(connection.socket)
+	reader := bufio.NewReaderSize(connection.socket, connectionReadBuffer)
 	for {
 		message, err := readFrame(reader)
 		if err != nil {
 			return
 		}
 		connection.lastReceivedNanos.Store(connection.clock.Now().UnixNano())
+		connection.probedAtNanos.Store(0)
 		connection.handleFrame(message)
 	}
 }
@@ -250,6 +275,7 @@
 		ctx, cancel = context.WithTimeout(context.Background(), time.Duration(message.TimeoutMillis)*time.Millisecond)
 	}
 	connection.mutex.Lock()
+	connection.use()
 	connection.serving[message.Stream] = cancel
 	connection.mutex.Unlock()
 	if !connection.alive() {
@@ -264,6 +290,7 @@
 		}
 		connection.mutex.Lock()
 		delete(connection.serving, message.Stream)
+		connection.use()
 		connection.mutex.Unlock()
 		// If the connection is closed, the remote host has already failed the call.
 		_ = connection.send(context.Background(), end)
@@ -292,21 +319,31 @@
 	}
 }
 
+// use records the begin of the first call or the end of the last one. The caller
+// holds the mutex.
+func (connection *connection) use() {
+	if len(connection.calls)+len(connection.serving) == 0 {
+		connection.lastUsed = connection.clock.Now()
+	}
+}
+
 // call calls a method of the remote host and runs onValue for each value of the
-// response.
-func (connection *connection) call(ctx context.Context, method string, argument any, onValue func(Value) error) error {
+// response, of which up to queue frames wait.
+func (connection *connection) call(ctx context.Context, method string, argument any, queue int, onValue func(Value) error) error {
 	payload, err := codec.Marshal(argument)
 	if err != nil {
 		return fmt.Errorf("encode argument of %q: %w", method, err)
 	}
 	stream := connection.lastStream.Add(1)
-	incoming := make(chan frame, incomingQueueFrames)
+	incoming := make(chan frame, queue)
 	connection.mutex.Lock()
+	connection.use()
 	connection.calls[stream] = incoming
 	connection.mutex.Unlock()
 	defer func() {
 		connection.mutex.Lock()
 		delete(connection.calls, stream)
+		connection.use()
 		connection.mutex.Unlock()
 	}()
 	message := frame{Stream: stream, Kind: kindRequest, Method: method, Payload: payload}
@@ -333,7 +370,7 @@
 			return ErrConnection
 		case message, ok := <-incoming:
 			if !ok {
-				return cancel(fmt.Errorf("call fell %d frames behind: %w", incomingQueueFrames, ErrConnection))
+				return cancel(fmt.Errorf("call fell %d frames behind: %w", cap(incoming), ErrConnection))
 			}
 			if message.Kind == kindEnd {
 				if message.Refusal != nil {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -13,7 +14,8 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// Transport accepts connections from other hosts and dials other hosts on demand.
+// Transport accepts connections from other hosts and dials other hosts on demand. It
+// closes the connections that it has dialed when they are idle.
 type Transport struct {
 	local    hello
 	clock    clockwork.Clock
@@ -22,10 +24,13 @@
 	listener net.Listener
 	rejected atomic.Int64
 
-	mutex    sync.Mutex
-	dialed   map[string]*connection
-	accepted map[*connection]struct{}
-	closed   bool
+	maintenance sync.Once
+	done        chan struct{} // closed by Close
+
+	mutex       sync.Mutex
+	dialed      map[string]*connection // for new calls, by address
+	connections map[*connection]struct{}
+	closed      bool
 }
 
 const dialTimeout = time.Second
@@ -34,12 +39,13 @@
 // secret. The handler serves the calls of other hosts.
 func NewTransport(host, incarnation, secret string, clock clockwork.Clock, logger log.Interface, handler Handler) *Transport {
 	return &Transport{
-		local:    hello{Host: host, Incarnation: incarnation, Secret: secret},
-		clock:    clock,
-		handler:  handler,
-		logger:   logger,
-		dialed:   make(map[string]*connection),
-		accepted: make(map[*connection]struct{}),
+		local:       hello{Host: host, Incarnation: incarnation, Secret: secret},
+		clock:       clock,
+		handler:     handler,
+		logger:      logger,
+		done:        make(chan struct{}),
+		dialed:      make(map[string]*connection),
+		connections: make(map[*connection]struct{}),
 	}
 }
 
@@ -75,25 +81,78 @@
 }
 
 func (transport *Transport) serveConnection(socket net.Conn) {
-	connection := newConnection(socket, transport.clock, transport.logger, transport.handler)
+	connection := newConnection(socket, transport.clock, transport.logger, transport.handler, false)
 	if err := connection.handshake(transport.local); err != nil {
 		transport.rejected.Add(1)
 		socket.Close()
 		return
 	}
 	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
 	if transport.closed {
-		transport.mutex.Unlock()
 		socket.Close()
 		return
 	}
-	transport.accepted[connection] = struct{}{}
-	transport.mutex.Unlock()
+	transport.start(connection)
+}
+
+// start adds a connection and starts it. The caller holds the mutex.
+func (transport *Transport) start(connection *connection) {
+	transport.connections[connection] = struct{}{}
 	connection.start()
-	<-connection.done
+	transport.maintenance.Do(func() { go transport.maintain() })
+}
+
+// maintain maintains the connections until the transport is closed.
+func (transport *Transport) maintain() {
+	ticker := transport.clock.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-transport.done:
+			return
+		case <-ticker.Chan():
+		}
+		now := transport.clock.Now()
+		for connection, address := range transport.openConnections() {
+			if connection.maintain(now, connection.dialed && address == "") {
+				transport.retire(address, connection)
+			}
+		}
+	}
+}
+
+// openConnections returns the connections that are open, with the address whose new
+// calls they get, and forgets the others.
+func (transport *Transport) openConnections() map[*connection]string {
 	transport.mutex.Lock()
-	delete(transport.accepted, connection)
-	transport.mutex.Unlock()
+	defer transport.mutex.Unlock()
+	open := make(map[*connection]string, len(transport.connections))
+	for connection := range transport.connections {
+		if connection.alive() {
+			open[connection] = ""
+		} else {
+			delete(transport.connections, connection)
+		}
+	}
+	for address, connection := range transport.dialed {
+		if connection.alive() {
+			open[connection] = address
+		} else {
+			delete(transport.dialed, address)
+		}
+	}
+	return open
+}
+
+// retire makes new calls to an address use another connection than this one, which
+// ends with its calls.
+func (transport *Transport) retire(address string, connection *connection) {
+	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
+	if transport.dialed[address] == connection {
+		delete(transport.dialed, address)
+	}
 }
 
 // Connect opens a connection to the host at the address, unless there is one.
@@ -106,17 +165,25 @@
 // of the response. The error wraps ErrConnection if the host was unreachable or
 // the connection was lost.
 func (transport *Transport) Call(ctx context.Context, address, method string, argument any, onValue func(Value) error) error {
+	return transport.call(ctx, address, method, argument, incomingQueueFrames, onValue)
+}
+
+func (transport *Transport) call(ctx context.Context, address, method string, argument any, queue int, onValue func(Value) error) error {
 	connection, err := transport.dial(ctx, address)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrConnection, err)
 	}
-	return connection.call(ctx, method, argument, onValue)
+	err = connection.call(ctx, method, argument, queue, onValue)
+	if errors.Is(err, context.DeadlineExceeded) && connection.silent() {
+		transport.retire(address, connection)
+	}
+	return err
 }
 
 // Ask calls a method that responds with exactly one value.
 func (transport *Transport) Ask(ctx context.Context, address, method string, argument, response any) error {
 	received := false
-	err := transport.Call(ctx, address, method, argument, func(value Value) error {
+	err := transport.call(ctx, address, method, argument, responseQueueFrames, func(value Value) error {
 		received = true
 		return value.Decode(response)
 	})
@@ -138,7 +205,7 @@
 	if err != nil {
 		return nil, err
 	}
-	connection := newConnection(socket, transport.clock, transport.logger, transport.handler)
+	connection := newConnection(socket, transport.clock, transport.logger, transport.handler, true)
 	if err := connection.handshake(transport.local); err != nil {
 		socket.Close()
 		return nil, err
@@ -154,23 +221,19 @@
 		return other, nil
 	}
 	transport.dialed[address] = connection
-	connection.start()
+	transport.start(connection)
 	return connection, nil
 }
 
 // Close closes the listener and all connections.
 func (transport *Transport) Close() error {
 	transport.mutex.Lock()
-	transport.closed = true
-	connections := make([]*connection, 0, len(transport.dialed)+len(transport.accepted))
-	for _, connection := range transport.dialed {
-		connections = append(connections, connection)
-	}
-	for connection := range transport.accepted {
-		connections = append(connections, connection)
+	if !transport.closed {
+		close(transport.done)
 	}
+	transport.closed = true
 	transport.mutex.Unlock()
-	for _, connection := range connections {
+	for connection := range transport.openConnections() {
 		connection.close()
 	}
 	if transport.listener == nil {
