Tell each other through aggregators instead of every host to every host

Cause: every host exchanged its whole status with every other one four times a second, and summed the load of all members anew for each status received, so that a host's work grew with the square of the fleet; coordinators and relays were found by scanning and sorting all members for each call.

Now internal/membership, without input or output, decides who is alive and who tells whom. Up to 24 hosts exchange digests with each other as before. In larger fleets each data centre has aggregators, the hosts with the most processor time; the others report to one of them, aggregators exchange digests of groups of about the square root of the fleet, and a report's response says what has changed. Lists carry sequence numbers and a count, and are sent whole only when they differ. Coordinators and relays come from a table that changes with the living hosts; their hash is the old one. Hosts whose entry names no protocol get the status exchange of the last build.

Weighed: the SWIM family (constant messages, but the load of the targets needs another way, and rumours take as long as aggregators here), gossip of loads that targets announce (not all services announce one).

TestFalseSuspicion: none in 10 s with lost calls, and while an aggregator is frozen or dies.

--- a/internal/capacity/board.go
+++ b/internal/capacity/board.go
@@ -129,13 +129,20 @@
 
 // Reports returns what this host tells the other hosts, by target ID: the limits,
 // and those lifted recently, that no other host has just reported.
-func (board *Board) Reports(now time.Time) map[string]Report {
+func (board *Board) Reports(now time.Time) map[string]Report { return board.reports(now, reportPause) }
+
+// AllReports returns what a host that passes on the reports of others tells, by target
+// ID: all limits, and those lifted recently.
+func (board *Board) AllReports(now time.Time) map[string]Report { return board.reports(now, 0) }
+
+// reports returns the announcements that no other host has reported for a time.
+func (board *Board) reports(now time.Time, pause time.Duration) map[string]Report {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	var reports map[string]Report
 	for target, announcement := range board.announcements {
 		age := max(0, now.Sub(announcement.ObservedAt))
-		if now.Sub(announcement.reportedAt) < reportPause || !announcement.Limited && age > liftedReportTime {
+		if now.Sub(announcement.reportedAt) < pause || !announcement.Limited && age > liftedReportTime {
 			continue
 		}
 		if reports == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 
 const (
 	hostEntriesWait       = 10 * time.Second        // long poll of the entries of hosts
+	hostEntriesInterval   = 500 * time.Millisecond  // between reads of them; many hosts start at once
 	historyShare          = 0.2                     // largest share of the host's memory for turns
 	targetReadsPerDrain   = 6                       // reads of the target entries within the time to stop using a draining target
 	minTargetReadInterval = 300 * time.Millisecond  // shortest interval between reads of the target entries
@@ -110,8 +111,10 @@
 	gateway.self = mesh.Member{
 		Host: settings.Host, Incarnation: fmt.Sprintf("%s/%d.%s", settings.Host, clock.Now().UnixMilli(), rand.Text()[:4]),
 		Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)), DataCentre: settings.DataCentre,
+		Capacity: int(100 * settings.CPUShare * float64(max(1, settings.Cores))),
 	}
-	gateway.mesh = mesh.New(gateway.self, clock, logger, gateway.localStatus, gateway.observeStatus)
+	gateway.mesh = mesh.New(gateway.self, clock, logger, localHost{gateway})
+	gateway.self = gateway.mesh.Self()
 	gateway.store = store.NewFailover(gateway.directStore, gateway.mesh.Relays, clock, logger)
 	gateway.writer = store.NewWriter(gateway.ctx, gateway.store, clock, logger, gateway.self.Incarnation)
 	gateway.expirer = store.NewExpirer(gateway.writer, clock, logger)
@@ -173,35 +176,6 @@
 	return quota.LimitSettings{Window: bounds.QuotaWindow, Overage: bounds.QuotaOverage, Slack: bounds.QuotaSlack}
 }
 
-// localStatus returns the status that this host sends to the other hosts.
-func (gateway *Gateway) localStatus() mesh.Status {
-	status := mesh.Status{
-		Stopping: gateway.stopping.Load(), StoreReachable: gateway.store.DirectReachable(), StoreFast: gateway.store.DirectFast(),
-		Load: gateway.registry.LocalLoad(), CrashCounts: gateway.crashTracker.LocalCrashes(gateway.clock.Now()),
-		TargetLimits: gateway.targetLimits.Reports(gateway.clock.Now()), TargetsLost: gateway.pool.Lost(),
-	}
-	if table := gateway.configuration.Table(); table != nil {
-		status.Version = table.Version()
-	}
-	return status
-}
-
-// observeStatus records the load, the target crashes, the limits of targets and
-// the configuration version that another host reports.
-func (gateway *Gateway) observeStatus(status mesh.Status) {
-	gateway.registry.SetRemoteLoad(gateway.mesh.RemoteLoad())
-	gateway.crashTracker.SetRemoteCrashes(status.Member.Host, status.CrashCounts)
-	gateway.configuration.refreshIfOlder(status.Version)
-	for target, report := range status.TargetLimits {
-		if gateway.targetLimits.Merge(target, report, gateway.clock.Now()) {
-			gateway.metrics.Count("target_limits_changed")
-			gateway.logger.WithFields(log.Fields{
-				"target": target, "limited": report.Limited, "per_second": report.Rate, "source": status.Member.Host, "age_ms": report.Age.Milliseconds(),
-			}).Info("request limit of a target changed")
-		}
-	}
-}
-
 // Start opens the listeners and starts following the store.
 func (gateway *Gateway) Start(context.Context) error {
 	if err := gateway.transport.Listen(gateway.self.Address); err != nil {
@@ -209,7 +183,7 @@
 	}
 	ctx := gateway.ctx
 	go gateway.configuration.follower.Run(ctx)
-	hostEntries := &store.Follower{Store: gateway.store, Clock: gateway.clock, Logger: gateway.logger, Topic: mesh.Topic, Wait: hostEntriesWait, Apply: gateway.mesh.Apply}
+	hostEntries := &store.Follower{Store: gateway.store, Clock: gateway.clock, Logger: gateway.logger, Topic: mesh.Topic, Wait: hostEntriesWait, ReadInterval: hostEntriesInterval, Apply: gateway.mesh.Apply}
 	go gateway.entries.Run(ctx)
 	go hostEntries.Run(ctx)
 	go gateway.registerHost()
--- /dev/null
+++ b/internal/gateway/local_host.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"github.com/apex/log"
+
+	"github.com/godwitspread/godwitspread/internal/capacity"
+	"github.com/godwitspread/godwitspread/internal/mesh"
+)
+
+// localHost implements mesh.Local.
+type localHost struct{ gateway *Gateway }
+
+// Status implements mesh.Local.
+func (localHost localHost) Status() mesh.Status {
+	gateway := localHost.gateway
+	status := mesh.Status{
+		Stopping: gateway.stopping.Load(), StoreReachable: gateway.store.DirectReachable(), StoreFast: gateway.store.DirectFast(),
+		Load: gateway.registry.LocalLoad(), CrashCounts: gateway.crashTracker.LocalCrashes(gateway.clock.Now()),
+		TargetLimits: gateway.targetLimits.Reports(gateway.clock.Now()), TargetsLost: gateway.pool.Lost(),
+	}
+	if table := gateway.configuration.Table(); table != nil {
+		status.Version = table.Version()
+	}
+	return status
+}
+
+// KnownLimits implements mesh.Local.
+func (localHost localHost) KnownLimits() map[string]capacity.Report {
+	return localHost.gateway.targetLimits.AllReports(localHost.gateway.clock.Now())
+}
+
+// ObserveLoad implements mesh.Local.
+func (localHost localHost) ObserveLoad(load map[string]int) {
+	localHost.gateway.registry.SetRemoteLoad(load)
+}
+
+// ObserveNews implements mesh.Local. It records the target crashes, the limits of
+// targets and the configuration version that other hosts report.
+func (localHost localHost) ObserveNews(news mesh.News) {
+	gateway := localHost.gateway
+	for host, counts := range news.CrashCounts {
+		if host != gateway.self.Host {
+			gateway.crashTracker.SetRemoteCrashes(host, counts)
+		}
+	}
+	gateway.configuration.refreshIfOlder(news.Version)
+	for target, report := range news.Limits {
+		if gateway.targetLimits.Merge(target, report, gateway.clock.Now()) {
+			gateway.metrics.Count("target_limits_changed")
+			gateway.logger.WithFields(log.Fields{
+				"target": target, "limited": report.Limited, "per_second": report.Rate, "source": news.Source, "age_ms": report.Age.Milliseconds(),
+			}).Info("request limit of a target changed")
+		}
+	}
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -40,7 +40,7 @@
 type PeerStatus struct {
 	Host         string `json:"host"`
 	DataCentre   string `json:"data_centre"`
-	Version      int64  `json:"configuration_version"`
+	Version      int64  `json:"configuration_version,omitempty"` // unknown in fleets with aggregators
 	StoreReached bool   `json:"store_reached"`
 }
 
@@ -61,9 +61,9 @@
 	if !status.StoreReached {
 		status.Unreachable = append(status.Unreachable, "store")
 	}
-	for _, peer := range gateway.mesh.ReachableStatuses() {
+	for _, peer := range gateway.mesh.Reachable() {
 		status.Peers = append(status.Peers, PeerStatus{
-			Host: peer.Member.Host, DataCentre: peer.Member.DataCentre, Version: peer.Version, StoreReached: peer.StoreReachable,
+			Host: peer.Host, DataCentre: peer.DataCentre, Version: peer.Version, StoreReached: peer.StoreReachable,
 		})
 	}
 	for target, announcement := range gateway.targetLimits.Limits() {
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,404 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// event is something that happens in a simulated fleet.
+type event struct {
+	at     time.Duration
+	serial int
+	run    func()
+}
+
+type eventQueue []event
+
+func (queue eventQueue) Len() int { return len(queue) }
+func (queue eventQueue) Less(left, right int) bool {
+	if queue[left].at != queue[right].at {
+		return queue[left].at < queue[right].at
+	}
+	return queue[left].serial < queue[right].serial
+}
+func (queue eventQueue) Swap(left, right int) { queue[left], queue[right] = queue[right], queue[left] }
+func (queue *eventQueue) Push(value any)      { *queue = append(*queue, value.(event)) }
+func (queue *eventQueue) Pop() any {
+	last := (*queue)[len(*queue)-1]
+	*queue = (*queue)[:len(*queue)-1]
+	return last
+}
+
+// simulatedHost is a host of a simulated fleet.
+type simulatedHost struct {
+	*View
+	name       string
+	dataCentre string
+	started    int // incarnation
+	frozen     bool
+	load       map[string]int
+	calls      int // made and served
+	entries    int // of hosts, in the messages received
+}
+
+// fleet simulates hosts in virtual time: the calls between them take time, get lost
+// and fail across cuts.
+type fleet struct {
+	t      *testing.T
+	random *rand.Rand
+	now    time.Duration
+	start  time.Time
+	queue  eventQueue
+	serial int
+	hosts  []*simulatedHost
+	down   map[string]bool
+	cut    func(from, to *simulatedHost) bool
+	loss   float64
+}
+
+func newFleet(t *testing.T, hosts, dataCentres int, seed uint64) *fleet {
+	t.Helper()
+	fleet := &fleet{t: t, random: rand.New(rand.NewPCG(seed, 1)), start: time.UnixMilli(1), down: make(map[string]bool), cut: func(_, _ *simulatedHost) bool { return false }}
+	for number := range hosts {
+		host := &simulatedHost{name: fmt.Sprintf("h%03d", number), dataCentre: fmt.Sprint("dc-", number%dataCentres), load: map[string]int{fmt.Sprint("t", number%7): 1}}
+		fleet.hosts = append(fleet.hosts, host)
+		fleet.after(time.Duration(fleet.random.IntN(300))*time.Millisecond, func() { fleet.boot(host) })
+	}
+	return fleet
+}
+
+func (fleet *fleet) clock() time.Time { return fleet.start.Add(fleet.now) }
+
+func (fleet *fleet) after(delay time.Duration, run func()) {
+	fleet.serial++
+	heap.Push(&fleet.queue, event{fleet.now + delay, fleet.serial, run})
+}
+
+// run advances the virtual time.
+func (fleet *fleet) run(duration time.Duration) {
+	end := fleet.now + duration
+	for len(fleet.queue) > 0 && fleet.queue[0].at <= end {
+		next := heap.Pop(&fleet.queue).(event)
+		fleet.now = next.at
+		next.run()
+	}
+	fleet.now = end
+}
+
+// boot starts a host, or restarts it. All hosts read its entry from the store soon.
+func (fleet *fleet) boot(host *simulatedHost) {
+	host.started++
+	delete(fleet.down, host.name)
+	member := Member{
+		Host: host.name, Incarnation: fmt.Sprintf("%s/%d", host.name, host.started), Address: host.name + ":1", DataCentre: host.dataCentre,
+		Protocol: Protocol, Capacity: 19,
+	}
+	host.View = NewView(member, fleet.clock())
+	started := host.started
+	var tick func()
+	tick = func() {
+		if host.started == started && !fleet.down[host.name] {
+			if !host.frozen {
+				fleet.exchange(host)
+			}
+			fleet.after(Interval+time.Duration(fleet.random.IntN(10))*time.Millisecond, tick)
+		}
+	}
+	fleet.after(0, tick)
+	fleet.after(100*time.Millisecond, func() {
+		for _, other := range fleet.hosts {
+			if other.View != nil {
+				other.Discover(member, fleet.clock())
+				host.Discover(other.self.Member, fleet.clock())
+			}
+		}
+	})
+}
+
+func (fleet *fleet) kill(host *simulatedHost) { fleet.down[host.name] = true }
+
+func (fleet *fleet) find(name string) *simulatedHost {
+	for _, host := range fleet.hosts {
+		if host.name == name {
+			return host
+		}
+	}
+	fleet.t.Fatalf("host %q does not exist", name)
+	return nil
+}
+
+// call makes a call: serve runs at the other host and returns what runs at the caller
+// with the response. failed runs if there is none within CallTimeout.
+func (fleet *fleet) call(from *simulatedHost, to string, serve func(*simulatedHost) func(), failed func()) {
+	other, incarnation := fleet.find(to), from.started
+	from.calls++
+	lost := func() bool {
+		return fleet.random.Float64() < fleet.loss || fleet.cut(from, other) || fleet.down[other.name] || other.View == nil
+	}
+	latency := func() time.Duration { return time.Duration(1+fleet.random.IntN(4)) * time.Millisecond }
+	ended := false
+	fleet.after(CallTimeout, func() {
+		if !ended && from.started == incarnation && !fleet.down[from.name] {
+			failed()
+		}
+		ended = true
+	})
+	fleet.after(latency(), func() {
+		if lost() || other.frozen {
+			return
+		}
+		other.calls++
+		respond := serve(other)
+		fleet.after(latency(), func() {
+			if fleet.cut(other, from) || ended || from.started != incarnation || fleet.down[from.name] {
+				return
+			}
+			ended = true
+			respond()
+		})
+	})
+}
+
+// exchange makes the calls of one interval.
+func (fleet *fleet) exchange(host *simulatedHost) {
+	plan := host.Next(fleet.clock())
+	for _, member := range plan.Digests {
+		digest := host.NewDigest(member.Host, Summary{Load: host.load}, fleet.clock())
+		fleet.call(host, member.Host, func(other *simulatedHost) func() {
+			other.entries += len(digest.Group) + len(digest.Introduced)
+			other.ApplyDigest(digest, fleet.clock())
+			response := other.NewDigest(host.name, Summary{Load: other.load}, fleet.clock())
+			return func() {
+				host.entries += len(response.Group) + len(response.Introduced)
+				host.Done(member.Host, true, fleet.clock())
+				host.ApplyDigest(response, fleet.clock())
+			}
+		}, func() { host.Done(member.Host, false, fleet.clock()) })
+	}
+	if plan.Report != nil {
+		fleet.report(host, *plan.Report)
+	}
+}
+
+func (fleet *fleet) report(host *simulatedHost, aggregator Member) {
+	report := host.NewReport(Summary{Load: host.load})
+	fleet.call(host, aggregator.Host, func(other *simulatedHost) func() {
+		response := other.ServeReport(report, Summary{Load: other.load}, fleet.clock())
+		return func() {
+			host.entries += len(response.Alive) + len(response.Lost)
+			host.Done(aggregator.Host, true, fleet.clock())
+			host.ApplyReport(response, fleet.clock())
+		}
+	}, func() {
+		host.Done(aggregator.Host, false, fleet.clock())
+		if next := host.Retry(fleet.clock()); next != nil && !host.frozen {
+			fleet.report(host, *next)
+		}
+	})
+}
+
+// running returns the hosts that are up.
+func (fleet *fleet) running() []*simulatedHost {
+	var running []*simulatedHost
+	for _, host := range fleet.hosts {
+		if !fleet.down[host.name] && host.View != nil {
+			running = append(running, host)
+		}
+	}
+	return running
+}
+
+// agreed reports whether each running host takes exactly the running hosts that it
+// should reach for alive.
+func (fleet *fleet) agreed(reaches func(from, to *simulatedHost) bool) bool {
+	for _, host := range fleet.running() {
+		alive := make(map[string]string)
+		for _, state := range host.Alive(fleet.clock()) {
+			alive[state.Host] = state.Incarnation
+		}
+		expected := 0
+		for _, other := range fleet.running() {
+			if other == host || !reaches(host, other) {
+				continue
+			}
+			expected++
+			if alive[other.name] != other.self.Incarnation {
+				return false
+			}
+		}
+		if len(alive) != expected {
+			return false
+		}
+	}
+	return true
+}
+
+func everyone(_, _ *simulatedHost) bool { return true }
+
+// await runs the fleet until all hosts agree, and returns how long that took.
+func (fleet *fleet) await(limit time.Duration, description string, reaches func(from, to *simulatedHost) bool) time.Duration {
+	fleet.t.Helper()
+	begin := fleet.now
+	for fleet.now-begin <= limit {
+		if fleet.agreed(reaches) {
+			return fleet.now - begin
+		}
+		fleet.run(20 * time.Millisecond)
+	}
+	fleet.t.Errorf("hosts do not agree within %v: %s", limit, description)
+	return limit
+}
+
+// fleetSizes are the deployments: a stability window is the time after a fault within
+// which hosts must be in touch with each other again.
+var fleetSizes = []struct {
+	hosts, dataCentres int
+	stability          time.Duration
+	seeds              uint64
+}{
+	{3, 3, 3 * time.Second, 10}, {10, 3, 3 * time.Second, 10}, {25, 3, 3 * time.Second, 10}, {77, 3, 4 * time.Second, 4}, {295, 5, 5 * time.Second, 1},
+}
+
+// TestConvergence bounds how long hosts take to agree on who is alive: after the start
+// of all hosts at once, after some have died, and after a data centre was cut off.
+func TestConvergence(t *testing.T) {
+	const lossLimit = 2 * time.Second // of one host; less than half of the window over which rates are counted
+	for _, size := range fleetSizes {
+		for seed := range size.seeds {
+			fleet := newFleet(t, size.hosts, size.dataCentres, seed)
+			fleet.run(400 * time.Millisecond)
+			name := fmt.Sprintf("%d hosts, seed %d: ", size.hosts, seed)
+			var took []time.Duration
+			await := func(limit time.Duration, description string, reaches func(from, to *simulatedHost) bool) {
+				t.Helper()
+				took = append(took, fleet.await(limit, name+description, reaches))
+			}
+			await(size.stability, "start", everyone)
+			fleet.run(time.Second)
+			for _, host := range fleet.hosts {
+				if seen := fleet.loadSeen(host); seen != size.hosts-1 {
+					t.Errorf("%shost %q sees %d requests of %d", name, host.name, seen, size.hosts-1)
+				}
+			}
+			fleet.run(4 * time.Second)
+			dead := fleet.hosts[fleet.random.IntN(size.hosts)]
+			fleet.kill(dead)
+			await(lossLimit, "one host dies", everyone)
+			fleet.boot(dead)
+			fleet.run(150 * time.Millisecond)
+			await(size.stability, "it starts again", everyone)
+			for _, number := range fleet.random.Perm(size.hosts)[:size.hosts*6/10] {
+				fleet.kill(fleet.hosts[number])
+			}
+			await(size.stability, "60 in 100 die", everyone)
+			for _, host := range fleet.hosts {
+				if fleet.down[host.name] {
+					fleet.boot(host)
+				}
+			}
+			fleet.run(150 * time.Millisecond)
+			await(size.stability, "they start again", everyone)
+			fleet.run(2 * time.Second)
+			separated := func(from, to *simulatedHost) bool {
+				return (from.dataCentre == "dc-0") != (to.dataCentre == "dc-0")
+			}
+			fleet.cut = separated
+			await(size.stability, "a data centre is cut off", func(from, to *simulatedHost) bool { return !separated(from, to) })
+			fleet.run(4 * time.Second)
+			fleet.cut = func(_, _ *simulatedHost) bool { return false }
+			await(size.stability, "it is back", everyone)
+			t.Log(name, took)
+		}
+	}
+}
+
+// loadSeen returns the requests of other hosts that a host knows of.
+func (fleet *fleet) loadSeen(host *simulatedHost) int {
+	total := 0
+	for _, count := range host.Remote(fleet.clock()).Load {
+		total += count
+	}
+	return total
+}
+
+// TestSteadyCost bounds what hosts exchange while nothing changes. The mean over all
+// hosts must not grow with the fleet beyond full exchange, an aggregator's share with
+// no more than its square root.
+func TestSteadyCost(t *testing.T) {
+	const seconds = 10
+	for _, size := range fleetSizes {
+		is := is.New(t)
+		fleet := newFleet(t, size.hosts, size.dataCentres, 1)
+		fleet.run(8 * time.Second)
+		for _, host := range fleet.hosts {
+			host.calls, host.entries = 0, 0
+		}
+		fleet.run(seconds * time.Second)
+		perSecond, total, most, entries := float64(time.Second/Interval), 0, 0, 0
+		for _, host := range fleet.hosts {
+			total += host.calls
+			most = max(most, host.calls)
+			entries += host.entries
+		}
+		mean := float64(total) / float64(size.hosts) / seconds
+		is.True(mean <= perSecond*fullExchangeHosts)                                                         // calls a second, made and served
+		is.True(float64(most)/seconds <= 1.1*perSecond*(fullExchangeHosts+2*float64(groupSize(size.hosts)))) // of an aggregator
+		is.Equal(entries, 0)                                                                                 // nothing has changed
+		t.Logf("%3d hosts: %.1f calls/s mean, %.1f most", size.hosts, mean, float64(most)/seconds)
+	}
+}
+
+// TestFalseSuspicion guards against hosts that lose each other although they run: with
+// lost messages, and when aggregators die or freeze.
+func TestFalseSuspicion(t *testing.T) {
+	for _, size := range fleetSizes {
+		if size.hosts < 10 {
+			continue
+		}
+		fleet := newFleet(t, size.hosts, size.dataCentres, 2)
+		fleet.loss = 0.002
+		fleet.run(6 * time.Second)
+		flapping := func(duration time.Duration, ignored ...*simulatedHost) int {
+			count := 0
+			for end := fleet.now + duration; fleet.now < end; fleet.run(50 * time.Millisecond) {
+				for _, host := range fleet.running() {
+					for _, lost := range host.Lost(fleet.clock()) {
+						expected := fleet.down[lost] || host.frozen
+						for _, other := range ignored {
+							expected = expected || other.name == lost || other == host
+						}
+						if !expected {
+							count++
+						}
+					}
+				}
+			}
+			return count
+		}
+		if count := flapping(10 * time.Second); count > 0 {
+			t.Errorf("%d hosts lose each other %d times when calls are lost", size.hosts, count)
+		}
+		var aggregator *simulatedHost
+		for _, host := range fleet.hosts {
+			if host.Aggregating() {
+				aggregator = host
+				break
+			}
+		}
+		aggregator.frozen = true
+		if count := flapping(3*time.Second, aggregator); count > 0 {
+			t.Errorf("%d hosts lose each other %d times when an aggregator is frozen", size.hosts, count)
+		}
+		aggregator.frozen = false
+		fleet.run(2 * time.Second)
+		fleet.kill(aggregator)
+		if count := flapping(3*time.Second, aggregator); count > 0 {
+			t.Errorf("%d hosts lose each other %d times when an aggregator dies", size.hosts, count)
+		}
+	}
+}
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -20,7 +20,9 @@
 
 // Names of the methods that hosts call on each other.
 const (
-	methodStatus  = "status"
+	methodStatus  = "status" // between hosts of which one speaks membership protocol 0
+	methodReport  = "report"
+	methodDigest  = "digest"
 	methodAppend  = "append"
 	methodRead    = "read"
 	methodList    = "list"
@@ -139,8 +141,10 @@
 	handlers := map[string]peer.Handler{
 		methodStatus: unaryHandler(func(_ context.Context, status Status) (Status, error) {
 			mesh.ObserveStatus(status)
-			return mesh.currentStatus(), nil
+			return mesh.localStatus(), nil
 		}),
+		methodReport: unaryHandler(mesh.serveReport),
+		methodDigest: unaryHandler(mesh.serveDigest),
 		methodAppend: unaryHandler(func(ctx context.Context, batch store.Append) (storeResponse, error) {
 			offset, err := operations.Store.Append(ctx, batch)
 			return storeResponse{Offset: offset}.withError(err)
@@ -248,13 +252,13 @@
 			return response.Turns
 		}
 	}
-	live := mesh.ReachableStatuses()
+	live := mesh.Reachable()
 	responses := make(chan []history.Turn, len(live))
-	for _, status := range live {
+	for _, state := range live {
 		go func() {
 			var response turnList
-			if err := mesh.transport.Ask(ctx, status.Member.Address, methodFind, request, &response); err != nil {
-				mesh.logger.WithError(err).WithField("peer", status.Member.Host).Debug("looking up a turn on another host failed")
+			if err := mesh.transport.Ask(ctx, state.Address, methodFind, request, &response); err != nil {
+				mesh.logger.WithError(err).WithField("peer", state.Host).Debug("looking up a turn on another host failed")
 			}
 			responses <- response.Turns
 		}()
@@ -361,8 +365,8 @@
 func (mesh *Mesh) otherDataCentres() []string {
 	known := map[string]bool{mesh.self.DataCentre: true}
 	var dataCentres []string
-	for _, status := range mesh.ReachableStatuses() {
-		if dataCentre := status.Member.DataCentre; !known[dataCentre] {
+	for _, state := range mesh.Reachable() {
+		if dataCentre := state.DataCentre; !known[dataCentre] {
 			known[dataCentre] = true
 			dataCentres = append(dataCentres, dataCentre)
 		}
--- a/internal/mesh/coordinator.go
+++ b/internal/mesh/coordinator.go
@@ -1,6 +1,6 @@
 package mesh
 
-import "github.com/cespare/xxhash/v2"
+import "github.com/godwitspread/godwitspread/internal/membership"
 
 // ReachableShare implements quota.Coordinators. It returns the share of the
 // known hosts that this host reaches, including itself, and the share of a
@@ -8,14 +8,8 @@
 func (mesh *Mesh) ReachableShare() (reachable, single float64) {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	live := 1
-	for _, member := range mesh.members {
-		if mesh.clock.Since(member.lastSeen) <= livenessTimeout {
-			live++
-		}
-	}
-	total := float64(len(mesh.members) + 1)
-	return float64(live) / total, 1 / total
+	alive, known := mesh.view.Counts(mesh.clock.Now())
+	return float64(alive) / float64(known), 1 / float64(known)
 }
 
 // Coordinator implements quota.Coordinators. It returns the coordinator of a key
@@ -43,35 +37,40 @@
 	if dataCentre != "" && dataCentre != mesh.self.DataCentre {
 		return other, false
 	}
-	if found && rendezvousWeight(other.Host, key) > rendezvousWeight(mesh.self.Host, key) {
+	if found && membership.Weight(other.Host, key) > membership.Weight(mesh.self.Host, key) {
 		return other, false
 	}
 	return mesh.self, true
 }
 
 // highestMember returns the reachable other host with the highest rendezvous
-// hashing weight for a key, and false if there is none.
+// hashing weight for a key, and false if there is none. It remembers the result until
+// other hosts are reachable.
 func (mesh *Mesh) highestMember(key, dataCentre string) (Member, bool) {
-	var best Member
-	highest := uint64(0)
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	now := mesh.clock.Now()
-	for _, member := range mesh.members {
-		if dataCentre != "" && member.DataCentre != dataCentre || now.Sub(member.lastSeen) > livenessTimeout || member.status.Stopping {
+	mesh.update()
+	remembered := coordinatorKey{key, dataCentre}
+	if known, ok := mesh.coordinators[remembered]; ok {
+		return known, known.Host != ""
+	}
+	var best Member
+	highest := uint64(0)
+	for _, state := range mesh.reachable {
+		if dataCentre != "" && state.DataCentre != dataCentre || state.Stopping {
 			continue
 		}
-		if weight := rendezvousWeight(member.Host, key); weight > highest {
-			best, highest = member.Member, weight
+		if weight := membership.Weight(state.Host, key); weight > highest {
+			best, highest = state.Member, weight
 		}
 	}
+	if len(mesh.coordinators) >= maxCoordinated {
+		clear(mesh.coordinators)
+	}
+	mesh.coordinators[remembered] = best
 	return best, best.Host != ""
 }
 
-func rendezvousWeight(host, key string) uint64 {
-	return xxhash.Sum64String(host + "\x00" + key)
-}
-
 // TargetCoordinator implements capacity.Coordinators. It returns the host that
 // grants the permits of a target, and whether it is this host. A host that is
 // leaving coordinates only if it reaches no other one.
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -25,14 +25,14 @@
 // centre if there is one. It skips the hosts that were tried.
 func (mesh *Mesh) exchangeHost(tried map[string]bool) (Member, bool) {
 	var local, remote []Member
-	for _, status := range mesh.ReachableStatuses() {
-		if status.Stopping || status.TargetsLost || tried[status.Member.Host] {
+	for _, state := range mesh.Reachable() {
+		if state.Stopping || state.TargetsLost || tried[state.Host] {
 			continue
 		}
-		if status.Member.DataCentre == mesh.self.DataCentre {
-			local = append(local, status.Member)
+		if state.DataCentre == mesh.self.DataCentre {
+			local = append(local, state.Member)
 		} else {
-			remote = append(remote, status.Member)
+			remote = append(remote, state.Member)
 		}
 	}
 	candidates := local
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,11 +1,10 @@
-// Package mesh connects the hosts: they discover each other through the
-// store, exchange their status several times a second, and serve each other's
-// requests.
+// Package mesh connects the hosts: they discover each other through the store, tell
+// each other their state several times a second, and serve each other's requests.
 package mesh
 
 import (
 	"context"
-	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/membership"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/store"
 	"github.com/godwitspread/godwitspread/internal/worker"
@@ -24,22 +24,16 @@
 const Topic = "hosts"
 
 const (
-	statusInterval  = 250 * time.Millisecond // load and demand change within about a turn
-	statusTimeout   = 400 * time.Millisecond
-	livenessTimeout = 800 * time.Millisecond // three status intervals; a host not seen for longer counts as unreachable
-	memberTTL       = 60 * time.Second       // a host not seen for longer has no state that other hosts still need
-	hostEntriesWait = 10 * time.Second       // long poll of the host entries
+	statusTimeout  = 400 * time.Millisecond
+	loadInterval   = 25 * time.Millisecond  // shortest time between two sums of the load of other hosts
+	dialPatience   = 200 * time.Millisecond // after which a host that does not accept a connection counts as unreachable
+	maxCoordinated = 8192                   // keys whose coordinator is remembered
 )
 
 // Member describes a host, as its entry in the store does.
-type Member struct {
-	Host        string `msgpack:"h"`
-	Incarnation string `msgpack:"i"`
-	Address     string `msgpack:"a"`
-	DataCentre  string `msgpack:"d"`
-}
+type Member = membership.Member
 
-// Status is the state of a host that it sends to the other hosts.
+// Status is the state of a host. Hosts of membership protocol 0 send it to each other.
 type Status struct {
 	Member         Member                     `msgpack:"m"`
 	Version        int64                      `msgpack:"v,omitempty"` // of the configuration
@@ -53,42 +47,94 @@
 	TargetsLost    bool                       `msgpack:"u,omitempty"` // the host can connect to no target
 }
 
-// memberState is another host with its last known status.
-type memberState struct {
-	Member
-	status     Status
-	lastSeen   time.Time
-	discovered time.Time
-	exchanging bool // a status exchange that this host started is in flight
+// state returns what all hosts know of the host.
+func (status Status) state() membership.State {
+	return membership.State{
+		Member: status.Member, Stopping: status.Stopping, StoreReachable: status.StoreReachable, StoreFast: status.StoreFast,
+		TargetsLost: status.TargetsLost, Version: status.Version,
+	}
+}
+
+// summary returns what aggregators add up.
+func (status Status) summary() membership.Summary {
+	summary := membership.Summary{Load: status.Load, Version: status.Version}
+	if len(status.CrashCounts) > 0 {
+		summary.CrashCounts = map[string]map[uint64]int{"": status.CrashCounts}
+	}
+	return summary
+}
+
+// Local is this host, as far as the other hosts need to know of it.
+type Local interface {
+	Status() Status
+	// KnownLimits returns the request limits of targets that this host knows of,
+	// also from other hosts.
+	KnownLimits() map[string]capacity.Report
+	// ObserveLoad is called with the requests that all other hosts have in flight,
+	// by target.
+	ObserveLoad(load map[string]int)
+	// ObserveNews is called with what other hosts tell beside their load.
+	ObserveNews(news News)
+}
+
+// News is what other hosts tell beside their load.
+type News struct {
+	Source      string                    // host that has told it
+	Version     int64                     // newest version of the configuration
+	CrashCounts map[string]map[uint64]int // target crashes, by host and by the digest of the request that was running
+	Limits      map[string]capacity.Report
 }
 
 // Mesh is this host's view of the other hosts.
 type Mesh struct {
-	self        Member
-	clock       clockwork.Clock
-	logger      log.Interface
-	transport   *peer.Transport
-	localStatus func() Status
-	onStatus    func(Status)
+	self      Member
+	offset    uint64 // differs from that of other hosts
+	clock     clockwork.Clock
+	logger    log.Interface
+	transport *peer.Transport
+	local     Local
 
 	leaving atomic.Bool
 
-	mutex   sync.Mutex
-	members map[string]*memberState // by host
+	mutex        sync.Mutex
+	view         *membership.View
+	loadAt       time.Time // last sum of the load
+	generation   uint64    // of the view from which the following were determined
+	reachable    []membership.State
+	coordinators map[coordinatorKey]Member
 }
 
-// New returns a mesh. localStatus returns the status of this host; onStatus is
-// called with each status received from another host.
-func New(self Member, clock clockwork.Clock, logger log.Interface, localStatus func() Status, onStatus func(Status)) *Mesh {
-	return &Mesh{self: self, clock: clock, logger: logger, localStatus: localStatus, onStatus: onStatus, members: make(map[string]*memberState)}
+// coordinatorKey is a key with the data centre of its coordinator, or "" for any.
+type coordinatorKey struct{ key, dataCentre string }
+
+// New returns a mesh.
+func New(self Member, clock clockwork.Clock, logger log.Interface, local Local) *Mesh {
+	view := membership.NewView(self, clock.Now())
+	return &Mesh{self: view.Self().Member, offset: membership.Weight(self.Host, "relay"), clock: clock, logger: logger, local: local, view: view, coordinators: make(map[coordinatorKey]Member)}
 }
 
+// Self returns the entry of this host.
+func (mesh *Mesh) Self() Member { return mesh.self }
+
 // Leave makes this host hand the permits of targets over to the other hosts, as
 // they do when they learn that it is stopping.
 func (mesh *Mesh) Leave() { mesh.leaving.Store(true) }
 
 // SetTransport sets the transport for requests to other hosts.
-func (mesh *Mesh) SetTransport(transport *peer.Transport) { mesh.transport = transport }
+func (mesh *Mesh) SetTransport(transport *peer.Transport) {
+	mesh.transport = transport
+	transport.OnDialFailure(mesh.dialFailed)
+}
+
+// dialFailed records that this host could not connect to another one.
+func (mesh *Mesh) dialFailed(address string, after time.Duration, refused bool) {
+	if !refused && after < dialPatience {
+		return
+	}
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	mesh.view.Unreachable(address, mesh.clock.Now())
+}
 
 // Apply adds the hosts whose entries were read from the store.
 func (mesh *Mesh) Apply(records []store.Record, _ bool) {
@@ -105,87 +151,17 @@
 	}
 }
 
-// discover adds a host, or replaces its incarnation. An earlier incarnation does
-// not replace a later one that is reachable.
 func (mesh *Mesh) discover(entry Member) {
-	if entry.Host == "" || entry.Host == mesh.self.Host || entry.Address == "" {
-		return
-	}
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	member, ok := mesh.members[entry.Host]
-	if ok && member.Incarnation == entry.Incarnation {
-		return
+	if mesh.view.Discover(entry, mesh.clock.Now()) {
+		mesh.logger.WithFields(log.Fields{"peer": entry.Host, "incarnation": entry.Incarnation, "address": entry.Address, "protocol": entry.Protocol}).Info("host discovered")
 	}
-	if ok && mesh.clock.Since(member.lastSeen) < livenessTimeout && member.Incarnation > entry.Incarnation {
-		return
-	}
-	mesh.members[entry.Host] = &memberState{Member: entry, discovered: mesh.clock.Now()}
-	mesh.logger.WithFields(log.Fields{"peer": entry.Host, "incarnation": entry.Incarnation, "address": entry.Address}).Info("host discovered")
 }
 
-// Run exchanges statuses with the other hosts until the context ends.
+// Run tells the other hosts the state of this one until the context ends.
 func (mesh *Mesh) Run(ctx context.Context) {
-	worker.Every(ctx, mesh.clock, statusInterval, func() { mesh.exchangeStatus(ctx) })
-}
-
-// exchangeStatus starts a status exchange with the hosts whose names sort after
-// this host's name, and with those that have not been seen for two intervals.
-func (mesh *Mesh) exchangeStatus(ctx context.Context) {
-	status := mesh.currentStatus()
-	now := mesh.clock.Now()
-	for _, member := range mesh.dueMembers(now) {
-		go func() {
-			defer mesh.endExchange(member)
-			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-			defer cancel()
-			var response Status
-			if err := mesh.transport.Ask(ctx, member.Address, methodStatus, status, &response); err != nil {
-				return
-			}
-			mesh.ObserveStatus(response)
-		}()
-	}
-}
-
-// dueMembers returns the members with which a status exchange is due, and marks
-// them as exchanging. It removes the members that have expired.
-func (mesh *Mesh) dueMembers(now time.Time) []*memberState {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	var due []*memberState
-	for host, member := range mesh.members {
-		if now.Sub(member.lastSeen) > memberTTL && now.Sub(member.discovered) > memberTTL {
-			delete(mesh.members, host)
-			continue
-		}
-		if !member.exchanging && (host > mesh.self.Host || now.Sub(member.lastSeen) > 2*statusInterval) {
-			member.exchanging = true
-			due = append(due, member)
-		}
-	}
-	return due
-}
-
-func (mesh *Mesh) endExchange(member *memberState) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	member.exchanging = false
-}
-
-func (mesh *Mesh) currentStatus() Status {
-	status := mesh.localStatus()
-	status.Member = mesh.self
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	for _, member := range mesh.members {
-		// Every host reads the entries from the store, but the newest ones may
-		// not have reached all hosts yet.
-		if mesh.clock.Since(member.discovered) < 5*time.Second {
-			status.RecentMembers = append(status.RecentMembers, member.Member)
-		}
-	}
-	return status
+	worker.Every(ctx, mesh.clock, membership.Interval, func() { mesh.exchange(ctx) })
 }
 
 // ObserveStatus records the status of another host and discovers the members
@@ -194,77 +170,76 @@
 	if status.Member.Host == "" || status.Member.Host == mesh.self.Host {
 		return
 	}
-	mesh.discover(status.Member)
 	now := mesh.clock.Now()
 	mesh.mutex.Lock()
-	member, ok := mesh.members[status.Member.Host]
-	if ok && member.Incarnation == status.Member.Incarnation {
-		if !member.lastSeen.IsZero() && now.Sub(member.lastSeen) > livenessTimeout {
-			mesh.logger.WithField("peer", member.Host).Info("host reachable again")
-		}
-		member.lastSeen, member.status = now, status
+	if mesh.view.ObserveStatus(status.state(), status.summary(), now) {
+		mesh.logger.WithField("peer", status.Member.Host).Info("host reachable again")
 	}
 	mesh.mutex.Unlock()
 	for _, recent := range status.RecentMembers {
 		mesh.discover(recent)
 	}
-	mesh.onStatus(status)
+	mesh.observeNews(status.Member.Host, membership.Summary{
+		Version: status.Version, CrashCounts: map[string]map[uint64]int{status.Member.Host: status.CrashCounts},
+	}, status.TargetLimits)
+}
+
+// observeNews passes on what another host has told, and the load of all others if it
+// was not summed just now.
+func (mesh *Mesh) observeNews(source string, summary membership.Summary, limits map[string]capacity.Report) {
+	mesh.local.ObserveNews(News{Source: source, Version: summary.Version, CrashCounts: summary.CrashCounts, Limits: limits})
+	mesh.observeLoad(loadInterval)
 }
 
-// RemoteLoad returns the requests that the other hosts have in flight, by
-// target.
-func (mesh *Mesh) RemoteLoad() map[string]int {
+// observeLoad sums the load of the other hosts unless that was done just now.
+func (mesh *Mesh) observeLoad(interval time.Duration) {
 	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	load := make(map[string]int)
 	now := mesh.clock.Now()
-	for _, member := range mesh.members {
-		if now.Sub(member.lastSeen) > livenessTimeout {
-			continue
-		}
-		for id, count := range member.status.Load {
-			load[id] += count
-		}
+	if now.Sub(mesh.loadAt) < interval {
+		mesh.mutex.Unlock()
+		return
 	}
-	return load
+	mesh.loadAt = now
+	load := mesh.view.Remote(now).Load
+	mesh.mutex.Unlock()
+	mesh.local.ObserveLoad(load)
 }
 
-// ReachableStatuses returns the statuses of the reachable hosts, those of this data
-// centre first.
-func (mesh *Mesh) ReachableStatuses() []Status {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	var live []Status
+// update determines anew what follows from the living hosts, if they have changed. The
+// caller holds the mutex.
+func (mesh *Mesh) update() {
 	now := mesh.clock.Now()
-	for _, member := range mesh.members {
-		if now.Sub(member.lastSeen) <= livenessTimeout {
-			live = append(live, member.status)
-		}
+	generation := mesh.view.Generation(now)
+	if generation == mesh.generation && mesh.reachable != nil {
+		return
 	}
-	sort.Slice(live, func(a, b int) bool {
-		local, otherLocal := live[a].Member.DataCentre == mesh.self.DataCentre, live[b].Member.DataCentre == mesh.self.DataCentre
-		if local != otherLocal {
-			return local
-		}
-		return live[a].Member.Host < live[b].Member.Host
-	})
-	return live
+	mesh.generation = generation
+	mesh.reachable = mesh.view.Alive(now)
+	clear(mesh.coordinators)
+}
+
+// Reachable returns the states of the reachable hosts, those of this data centre
+// first. The caller must not change the slice.
+func (mesh *Mesh) Reachable() []membership.State {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	mesh.update()
+	return mesh.reachable
 }
 
 // Size returns the number of known hosts, including this one.
 func (mesh *Mesh) Size() int {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	return len(mesh.members) + 1
+	_, known := mesh.view.Counts(mesh.clock.Now())
+	return known
 }
 
 // OtherDataCentreReachable reports whether a host of another data centre is
 // reachable.
 func (mesh *Mesh) OtherDataCentreReachable() bool {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	for _, member := range mesh.members {
-		if member.DataCentre != mesh.self.DataCentre && mesh.clock.Since(member.lastSeen) <= livenessTimeout {
+	for _, state := range mesh.Reachable() {
+		if state.DataCentre != mesh.self.DataCentre {
 			return true
 		}
 	}
@@ -276,19 +251,7 @@
 func (mesh *Mesh) UnreachableDataCentres() map[string]bool {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	unreachable := make(map[string]bool)
-	reachable := map[string]bool{mesh.self.DataCentre: true}
-	for _, member := range mesh.members {
-		if mesh.clock.Since(member.lastSeen) <= livenessTimeout {
-			reachable[member.DataCentre] = true
-		} else if !member.lastSeen.IsZero() {
-			unreachable[member.DataCentre] = true
-		}
-	}
-	for dataCentre := range reachable {
-		delete(unreachable, dataCentre)
-	}
-	return unreachable
+	return mesh.view.LostDataCentres(mesh.clock.Now())
 }
 
 // UnreachableHosts returns the known hosts that have not been seen recently.
@@ -296,34 +259,22 @@
 func (mesh *Mesh) UnreachableHosts() []string {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	var unreachable []string
-	for _, member := range mesh.members {
-		if mesh.clock.Since(member.lastSeen) > livenessTimeout {
-			unreachable = append(unreachable, member.Host)
-		}
-	}
-	sort.Strings(unreachable)
-	return unreachable
+	return mesh.view.Lost(mesh.clock.Now())
 }
 
-// AddressByIncarnation returns the address of the host with an incarnation.
-// replaced is true if the host has restarted since.
+// AddressByIncarnation returns the address of the host with an incarnation, which is
+// the name of the host, a slash, and a suffix. replaced is true if the host has
+// restarted since.
 func (mesh *Mesh) AddressByIncarnation(incarnation string) (address string, found, replaced bool) {
+	host, _, _ := strings.Cut(incarnation, "/")
+	if host == mesh.self.Host {
+		return "", false, true
+	}
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	for _, member := range mesh.members {
-		if member.Incarnation == incarnation {
-			return member.Address, true, false
-		}
-		if hostHasIncarnation(member.Host, incarnation) {
-			return "", false, true
-		}
+	member, known := mesh.view.Find(host)
+	if known && member.Incarnation == incarnation {
+		return member.Address, true, false
 	}
-	return "", false, hostHasIncarnation(mesh.self.Host, incarnation)
-}
-
-// hostHasIncarnation reports whether an incarnation belongs to a host. An
-// incarnation is the name of the host, a slash, and a suffix.
-func hostHasIncarnation(host, incarnation string) bool {
-	return len(incarnation) > len(host) && incarnation[:len(host)] == host && incarnation[len(host)] == '/'
+	return "", false, known
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -13,7 +13,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/membership"
 	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/peer"
 	"github.com/godwitspread/godwitspread/internal/store"
@@ -21,9 +23,17 @@
 
 func newTestMesh(clock clockwork.Clock, host, dataCentre string) *Mesh {
 	self := Member{Host: host, Incarnation: host + "/1", Address: host + ":1", DataCentre: dataCentre}
-	return New(self, clock, &log.Logger{Handler: discard.Default}, func() Status { return Status{} }, func(Status) {})
+	return New(self, clock, &log.Logger{Handler: discard.Default}, noLocal{})
 }
 
+// noLocal is a host without a state.
+type noLocal struct{}
+
+func (noLocal) Status() Status                          { return Status{} }
+func (noLocal) KnownLimits() map[string]capacity.Report { return nil }
+func (noLocal) ObserveLoad(map[string]int)              {}
+func (noLocal) ObserveNews(News)                        {}
+
 func statusOf(host, dataCentre string) Status {
 	return Status{Member: Member{Host: host, Incarnation: host + "/1", Address: host + ":1", DataCentre: dataCentre}}
 }
@@ -37,15 +47,15 @@
 	entry, err := codec.Marshal(statusOf("b1", "b").Member)
 	is.NoErr(err)
 	mesh.Apply([]store.Record{{Key: "b1", Value: entry}, {Key: "x", Value: []byte("unreadable")}, {Key: "gone"}}, true)
-	is.Equal(len(mesh.ReachableStatuses()), 0) // discovered in the store, but not seen yet
+	is.Equal(len(mesh.Reachable()), 0) // discovered in the store, but not seen yet
 	mesh.ObserveStatus(statusOf("b1", "b"))
 	mesh.ObserveStatus(statusOf("a2", "a"))
-	is.Equal(mesh.ReachableStatuses()[0].Member.Host, "a2") // hosts of the same data centre come first
+	is.Equal(mesh.Reachable()[0].Host, "a2") // hosts of the same data centre come first
 	is.True(mesh.OtherDataCentreReachable())
 	reachable, single := mesh.ReachableShare()
 	is.Equal(reachable, 1.0)
 	is.True(single > 0.33 && single < 0.34)
-	clock.Advance(livenessTimeout + time.Millisecond)
+	clock.Advance(membership.AliveTimeout + time.Millisecond)
 	mesh.ObserveStatus(statusOf("a2", "a"))
 	is.Equal(mesh.UnreachableHosts(), []string{"b1"})
 	is.Equal(mesh.UnreachableDataCentres(), map[string]bool{"b": true})
@@ -57,8 +67,7 @@
 	mesh.ObserveStatus(restarted)
 	_, found, replaced = mesh.AddressByIncarnation("b1/1")
 	is.True(!found && replaced) // the state of the earlier incarnation is lost
-	clock.Advance(memberTTL + time.Second)
-	mesh.dueMembers(clock.Now())
+	clock.Advance(membership.MemberTTL + time.Second)
 	is.Equal(len(mesh.UnreachableHosts()), 0)
 }
 
@@ -127,7 +136,7 @@
 		is.True(!self)
 		is.Equal(address, expected)
 	}
-	clock.Advance(livenessTimeout + time.Millisecond)
+	clock.Advance(membership.AliveTimeout + time.Millisecond)
 	_, self := leaving.TargetCoordinator("t1")
 	is.True(self)
 }
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/godwitspread/godwitspread/internal/membership"
 	"github.com/godwitspread/godwitspread/internal/origin"
 )
 
@@ -39,9 +40,9 @@
 		mesh.logger.WithError(err).WithField("peer", holder.Host).Debug("sending the origin of a stream to another host failed")
 		tried[holder.Host] = true
 		next := Member{}
-		for _, status := range mesh.ReachableStatuses() {
-			if !tried[status.Member.Host] && !status.Stopping {
-				next = status.Member
+		for _, state := range mesh.Reachable() {
+			if !tried[state.Host] && !state.Stopping {
+				next = state.Member
 				break
 			}
 		}
@@ -59,7 +60,7 @@
 	highest := uint64(0)
 	for _, dataCentre := range mesh.otherDataCentres() {
 		member, found := mesh.highestMember(key.Attempt, dataCentre)
-		if weight := rendezvousWeight(member.Host, key.Attempt); found && weight > highest {
+		if weight := membership.Weight(member.Host, key.Attempt); found && weight > highest {
 			remote, highest = member, weight
 		}
 	}
@@ -97,9 +98,9 @@
 // FindVersions implements origin.Peers.
 func (mesh *Mesh) FindVersions(ctx context.Context, request origin.VersionsRequest) ([]string, bool) {
 	var members []Member
-	for _, status := range mesh.ReachableStatuses() {
+	for _, state := range mesh.Reachable() {
 		if len(members) < maxVersionSources {
-			members = append(members, status.Member)
+			members = append(members, state.Member)
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
@@ -113,11 +114,7 @@
 func (mesh *Mesh) otherMembers() []Member {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	members := make([]Member, 0, len(mesh.members))
-	for _, member := range mesh.members {
-		members = append(members, member.Member)
-	}
-	return members
+	return mesh.view.Known()
 }
 
 // askAny calls a method on several hosts at once and returns the first response that
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -4,16 +4,29 @@
 	"context"
 	"time"
 
+	"github.com/godwitspread/godwitspread/internal/membership"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
 
-// Relays returns paths to the store through the other hosts that reach it
-// directly, those of this data centre first.
+// maxRelays bounds the paths to the store through other hosts. A call tries no more.
+const maxRelays = 4
+
+// Relays returns paths to the store through other hosts that reach it directly, those
+// of this data centre first. Hosts begin with different ones, so that a data centre
+// which has lost the store does not send all its calls through the same host.
 func (mesh *Mesh) Relays() []store.Path {
+	reachable := mesh.Reachable()
+	local := 0
+	for local < len(reachable) && reachable[local].DataCentre == mesh.self.DataCentre {
+		local++
+	}
 	var paths []store.Path
-	for _, status := range mesh.ReachableStatuses() {
-		if status.StoreReachable {
-			paths = append(paths, store.Path{Store: &relayedStore{mesh: mesh, address: status.Member.Address}, Fast: status.StoreFast})
+	for _, group := range [][]membership.State{reachable[:local], reachable[local:]} {
+		for index := range group {
+			state := group[(index+int(mesh.offset%uint64(len(group))))%len(group)]
+			if state.StoreReachable && len(paths) < maxRelays {
+				paths = append(paths, store.Path{Store: &relayedStore{mesh: mesh, address: state.Address}, Fast: state.StoreFast})
+			}
 		}
 	}
 	return paths
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -24,8 +25,9 @@
 	listener net.Listener
 	rejected atomic.Int64
 
-	maintenance sync.Once
-	done        chan struct{} // closed by Close
+	onDialFailure func(address string, after time.Duration, refused bool)
+	maintenance   sync.Once
+	done          chan struct{} // closed by Close
 
 	mutex       sync.Mutex
 	dialed      map[string]*connection // for new calls, by address
@@ -53,6 +55,12 @@
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
 
+// OnDialFailure sets a function that is called when a host could not be connected to.
+// It must be set before the first call.
+func (transport *Transport) OnDialFailure(failed func(address string, after time.Duration, refused bool)) {
+	transport.onDialFailure = failed
+}
+
 // Listen listens on the address and accepts connections in the background.
 func (transport *Transport) Listen(address string) error {
 	listener, err := net.Listen("tcp", address)
@@ -201,8 +209,12 @@
 		return existing, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
+	start := transport.clock.Now()
 	socket, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		if transport.onDialFailure != nil && !errors.Is(ctx.Err(), context.Canceled) {
+			transport.onDialFailure(address, transport.clock.Since(start), errors.Is(err, syscall.ECONNREFUSED))
+		}
 		return nil, err
 	}
 	connection := newConnection(socket, transport.clock, transport.logger, transport.handler, true)
