Count the budgets of a partition at one host of each data centre

Cause: each host coordinated programs of every partition of the budgets, so that it read the entries of all hosts, and two calls were needed for each allocation. Now one host of a data centre counts the budgets of a partition; an entry that follows the last one read is not read back. Hosts of the last build choose by program: both count allocations of their own meanwhile, which the order of the entries keeps within the budget, and recall each other's.

--- a/internal/budget/entrylog.go
+++ b/internal/budget/entrylog.go
@@ -58,6 +58,11 @@
 	return int(xxhash.Sum64String(program) % uint64(len(entryLog.partitions)))
 }
 
+// partitionName returns the name of a program's partition.
+func (entryLog *entryLog) partitionName(program string) string {
+	return fmt.Sprintf("%s/%d", Topic, entryLog.partitionOf(program))
+}
+
 // write appends an entry to the store and reads it back. A negative number of
 // tokens returns them.
 func (entryLog *entryLog) write(ctx context.Context, program string, budget, tokens int) error {
@@ -75,11 +80,30 @@
 	if err != nil {
 		return err
 	}
-	offset, err := entryLog.writer.Append(ctx, Topic, number, store.Record{Key: key, Value: value})
-	if err != nil {
+	record := store.Record{Key: key, Value: value}
+	if record.Offset, err = entryLog.writer.Append(ctx, Topic, number, record); err != nil {
 		return err
 	}
-	return entryLog.readThrough(ctx, number, offset)
+	if entryLog.foldNext(number, record) {
+		return nil
+	}
+	return entryLog.readThrough(ctx, number, record.Offset)
+}
+
+// foldNext folds an entry that this host has appended, if it follows the last folded
+// one and need not be read back.
+func (entryLog *entryLog) foldNext(number int, record store.Record) bool {
+	partition := entryLog.partitions[number]
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	if partition.next != record.Offset {
+		return false
+	}
+	if err := partition.ledger.fold([]store.Record{record}, record.Offset+1, entryLog.creditOwnEntry); err != nil {
+		return false // reading it back reports the error
+	}
+	partition.next = record.Offset + 1
+	return true
 }
 
 // readThrough reads a partition until the record at the offset has been folded.
--- a/internal/budget/protocol_test.go
+++ b/internal/budget/protocol_test.go
@@ -227,7 +227,7 @@
 func (*unreachable) Reserve(context.Context, string, ReservationRequest) (ReservationResponse, error) {
 	return ReservationResponse{}, errors.New("no response")
 }
-func (*unreachable) Started(context.Context, string) bool { return false }
+func (*unreachable) Started(context.Context, string, string) bool { return false }
 func (unreachable *unreachable) Settle(_ string, settlement Settlement) {
 	unreachable.settled = append(unreachable.settled, settlement)
 }
@@ -280,7 +280,7 @@
 func (relay *relay) Reserve(ctx context.Context, _ string, request ReservationRequest) (ReservationResponse, error) {
 	return relay.coordinator.HandleReserve(ctx, request)
 }
-func (*relay) Started(context.Context, string) bool { return false }
+func (*relay) Started(context.Context, string, string) bool { return false }
 func (relay *relay) Settle(_ string, settlement Settlement) {
 	relay.coordinator.HandleSettle(settlement)
 }
--- a/internal/budget/reserver.go
+++ b/internal/budget/reserver.go
@@ -14,16 +14,17 @@
 
 // Coordinators locates and calls the coordinator of a program: the host that
 // counts its budget, so that turns of the program on many hosts share one
-// allocation. Hosts that disagree on the coordinator count separate
+// allocation. The programs of a partition have the same coordinator, which so reads
+// few partitions and writes to each of them often. Hosts that disagree on the coordinator count separate
 // allocations, which is safe because the order of the entries in the store
 // limits their total.
 type Coordinators interface {
-	BudgetCoordinator(program string) (address string, self bool)
+	BudgetCoordinator(partition string) (address string, self bool)
 	Reserve(ctx context.Context, address string, request ReservationRequest) (ReservationResponse, error)
 	Settle(address string, settlement Settlement)
-	// Started asks the program's coordinators in other data centres whether the
-	// program has started.
-	Started(ctx context.Context, program string) bool
+	// Started asks the coordinators of the program's partition in other data centres
+	// whether the program has started.
+	Started(ctx context.Context, partition, program string) bool
 }
 
 // Claim describes the tokens that a turn needs from the budget of its program.
@@ -89,7 +90,7 @@
 // Reserve reserves tokens for a turn. The caller must call settle with the
 // number of tokens that the turn has generated.
 func (reserver *Reserver) Reserve(ctx context.Context, claim Claim) (settle func(used int), err error) {
-	address, self := reserver.coordinators.BudgetCoordinator(claim.Program)
+	address, self := reserver.coordinators.BudgetCoordinator(reserver.allocator.entryLog.partitionName(claim.Program))
 	if !self {
 		id := reserver.allocator.entryLog.holder + "/" + strconv.FormatInt(reserver.nextSerial(), 36)
 		settlement := Settlement{Program: claim.Program, ID: id}
@@ -122,7 +123,7 @@
 
 // reserveLocally reserves tokens from the allocation of this host.
 func (reserver *Reserver) reserveLocally(ctx context.Context, claim Claim) (*Reservation, error) {
-	if claim.StartedOnly && !reserver.Started(claim.Program) && !reserver.coordinators.Started(ctx, claim.Program) {
+	if claim.StartedOnly && !reserver.Started(claim.Program) && !reserver.coordinators.Started(ctx, reserver.allocator.entryLog.partitionName(claim.Program), claim.Program) {
 		return nil, ErrNotStarted
 	}
 	return reserver.allocator.Reserve(ctx, claim)
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -334,16 +334,16 @@
 	}()
 }
 
-// Started implements budget.Coordinators. It asks the program's coordinators in
-// the other data centres whether the program has started. One that does not respond
-// in time may know it, so the program counts as started.
-func (mesh *Mesh) Started(ctx context.Context, program string) bool {
+// Started implements budget.Coordinators. It asks the coordinators of the program's
+// partition in the other data centres whether the program has started. One that does not
+// respond in time may know it, so the program counts as started.
+func (mesh *Mesh) Started(ctx context.Context, partition, program string) bool {
 	ctx, cancel := context.WithTimeout(ctx, coordinatorTimeout)
 	defer cancel()
 	dataCentres := mesh.otherDataCentres()
 	responses := make(chan bool, len(dataCentres))
 	for _, dataCentre := range dataCentres {
-		coordinator, _ := mesh.coordinatorOf(program, dataCentre)
+		coordinator, _ := mesh.coordinatorOf(partition, dataCentre)
 		go func() {
 			var response startedResponse
 			if err := mesh.transport.Ask(ctx, coordinator.Address, methodStarted, startedRequest{program}, &response); err != nil {
--- a/internal/mesh/coordinator.go
+++ b/internal/mesh/coordinator.go
@@ -21,11 +21,11 @@
 }
 
 // BudgetCoordinator implements budget.Coordinators. It returns the host of this
-// data centre that counts a program's budget, and whether it is this host. The
+// data centre that counts the budgets of a partition, and whether it is this host. The
 // coordinator is local because most programs stay in one data centre and
 // continue when a network partition isolates it.
-func (mesh *Mesh) BudgetCoordinator(program string) (address string, self bool) {
-	coordinator, self := mesh.coordinatorOf(program, mesh.self.DataCentre)
+func (mesh *Mesh) BudgetCoordinator(partition string) (address string, self bool) {
+	coordinator, self := mesh.coordinatorOf(partition, mesh.self.DataCentre)
 	return coordinator.Address, self
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -190,7 +190,7 @@
 		status := statusOf("b1", "b")
 		status.Member.Address = server.Address()
 		local.ObserveStatus(status)
-		is.Equal(local.Started(context.Background(), "p"), test.counted) // test.name
+		is.Equal(local.Started(context.Background(), "budgets/1", "p"), test.counted) // test.name
 		is.NoErr(transport.Close())
 		is.NoErr(server.Close())
 	}
