--- a/internal/cli/hosts.go
+++ b/internal/cli/hosts.go
@@ -1,7 +1,9 @@
 package cli
 
 import (
+	"cmp"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -33,13 +35,28 @@
 		if err := client.fetch(ctx, address, "/status", &status); err != nil {
 			client.exitCode = ExitFailed
 			results = append(results, hostResult{Daemon: address, Error: err.Error()})
-			rows = append(rows, []string{address, "-", "no answer", "-", "-", "-", "-", "-", "-", err.Error()})
+			rows = append(rows, []string{address, "-", "no answer", "-", "-", "-", "-", "-", "-", "-", err.Error()})
 			continue
 		}
 		results = append(results, hostResult{Daemon: address, Status: &status})
 		rows = append(rows, hostRow(address, status))
 	}
-	return client.print(results, []string{"DAEMON", "HOST", "STATE", "VERSION", "CONFIG AGE", "STORE", "REQUESTS", "TARGETS", "PEERS", "LOST"}, rows)
+	return client.print(results, []string{"DAEMON", "HOST", "STATE", "VERSION", "CONFIG AGE", "STORE", "REQUESTS", "TARGETS", "PEERS", "BUILD", "LOST"}, rows)
+}
+
+// peers returns the number of reachable hosts, and of those that speak the membership
+// protocol of the build before.
+func peers(status gateway.Status) string {
+	old := 0
+	for _, peer := range status.Peers {
+		if peer.Protocol < status.Protocol {
+			old++
+		}
+	}
+	if old == 0 {
+		return strconv.Itoa(len(status.Peers))
+	}
+	return fmt.Sprintf("%d (%d old)", len(status.Peers), old)
 }
 
 func hostRow(address string, status gateway.Status) []string {
@@ -66,6 +83,6 @@
 	}
 	return []string{
 		address, status.DataCentre + "/" + status.Host, state, strconv.FormatInt(status.Version, 10), configurationAge, store,
-		strconv.FormatInt(status.RequestsInFlight, 10), strconv.Itoa(status.Targets), strconv.Itoa(len(status.Peers)), unreachable,
+		strconv.FormatInt(status.RequestsInFlight, 10), strconv.Itoa(status.Targets), peers(status), cmp.Or(status.Build, "unknown") + "/" + strconv.Itoa(status.Protocol), unreachable,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,7 +222,7 @@
 			}
 		}()
 	}
-	gateway.logger.WithFields(log.Fields{"host": gateway.settings.Host, "data_centre": gateway.settings.DataCentre, "incarnation": gateway.self.Incarnation}).Info("host started")
+	gateway.logger.WithFields(log.Fields{"host": gateway.settings.Host, "data_centre": gateway.settings.DataCentre, "incarnation": gateway.self.Incarnation, "build": build(), "protocol": gateway.self.Protocol}).Info("host started")
 	return nil
 }
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -14,6 +14,9 @@
 	Host             string        `json:"host"`
 	DataCentre       string        `json:"data_centre"`
 	Incarnation      string        `json:"incarnation"`
+	Build            string        `json:"build,omitempty"`       // commit
+	Protocol         int           `json:"protocol,omitempty"`    // of membership
+	Aggregating      bool          `json:"aggregating,omitempty"` // other hosts may report to it
 	Started          time.Time     `json:"started"`
 	Ready            bool          `json:"ready"`
 	Stopping         bool          `json:"stopping"`
@@ -42,12 +45,14 @@
 	DataCentre   string `json:"data_centre"`
 	Version      int64  `json:"configuration_version,omitempty"` // unknown in fleets with aggregators
 	StoreReached bool   `json:"store_reached"`
+	Protocol     int    `json:"protocol,omitempty"` // of membership
 }
 
 // Status returns the state of the host.
 func (gateway *Gateway) Status() Status {
 	status := Status{
 		Host: gateway.self.Host, DataCentre: gateway.self.DataCentre, Incarnation: gateway.self.Incarnation, Started: gateway.started,
+		Build: build(), Protocol: gateway.self.Protocol, Aggregating: gateway.mesh.Aggregating(),
 		Ready: gateway.ready(), Stopping: gateway.stopping.Load(), StoreReached: gateway.store.DirectReachable(),
 		RequestsInFlight: gateway.front.InFlight(), Targets: gateway.registry.Len(), TargetsLost: gateway.pool.Lost(), Unreachable: []string{}, Peers: []PeerStatus{},
 	}
@@ -63,7 +68,7 @@
 	}
 	for _, peer := range gateway.mesh.Reachable() {
 		status.Peers = append(status.Peers, PeerStatus{
-			Host: peer.Host, DataCentre: peer.DataCentre, Version: peer.Version, StoreReached: peer.StoreReachable,
+			Host: peer.Host, DataCentre: peer.DataCentre, Version: peer.Version, StoreReached: peer.StoreReachable, Protocol: peer.Protocol,
 		})
 	}
 	for target, announcement := range gateway.targetLimits.Limits() {
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/history"
+	"github.com/godwitspread/godwitspread/internal/membership"
 	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/peer"
@@ -340,10 +342,9 @@
 func (mesh *Mesh) Started(ctx context.Context, partition, program string) bool {
 	ctx, cancel := context.WithTimeout(ctx, coordinatorTimeout)
 	defer cancel()
-	dataCentres := mesh.otherDataCentres()
-	responses := make(chan bool, len(dataCentres))
-	for _, dataCentre := range dataCentres {
-		coordinator, _ := mesh.coordinatorOf(partition, dataCentre)
+	coordinators := mesh.budgetCoordinators(partition, program)
+	responses := make(chan bool, len(coordinators))
+	for _, coordinator := range coordinators {
 		go func() {
 			var response startedResponse
 			if err := mesh.transport.Ask(ctx, coordinator.Address, methodStarted, startedRequest{program}, &response); err != nil {
@@ -353,7 +354,7 @@
 			responses <- response.Started
 		}()
 	}
-	for range dataCentres {
+	for range coordinators {
 		if <-responses {
 			return true
 		}
@@ -361,6 +362,27 @@
 	return false
 }
 
+// budgetCoordinators returns the other hosts that may count the budget of a program:
+// the coordinators of its partition in the other data centres and, while hosts of
+// protocol 0 are alive, those that these hosts choose for the program.
+func (mesh *Mesh) budgetCoordinators(partition, program string) map[string]Member {
+	coordinators := make(map[string]Member)
+	add := func(key, dataCentre string) {
+		if coordinator, found := mesh.highestMember(key, dataCentre); found {
+			coordinators[coordinator.Host] = coordinator
+		}
+	}
+	for _, dataCentre := range mesh.otherDataCentres() {
+		add(partition, dataCentre)
+	}
+	if slices.ContainsFunc(mesh.Reachable(), func(state membership.State) bool { return state.Protocol == 0 }) {
+		for _, dataCentre := range append(mesh.otherDataCentres(), mesh.self.DataCentre) {
+			add(program, dataCentre)
+		}
+	}
+	return coordinators
+}
+
 // otherDataCentres returns the other data centres with a reachable host.
 func (mesh *Mesh) otherDataCentres() []string {
 	known := map[string]bool{mesh.self.DataCentre: true}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -230,6 +230,13 @@
 	return mesh.reachable
 }
 
+// Aggregating reports whether other hosts may report to this one.
+func (mesh *Mesh) Aggregating() bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return mesh.view.Aggregating()
+}
+
 // Size returns the number of known hosts, including this one.
 func (mesh *Mesh) Size() int {
 	mesh.mutex.Lock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -223,6 +223,32 @@
 	}
 }
 
+// TestBudgetCoordinatorsDuringUpgrade guards against refusing an active program as one
+// that has not started, because a host of the last build counts its budget: that host
+// chooses coordinators by program, not by partition.
+func TestBudgetCoordinatorsDuringUpgrade(t *testing.T) {
+	const partition = "budgets/1"
+	is := is.New(t)
+	mesh := newTestMesh(clockwork.NewFakeClock(), "a1", "a")
+	for _, host := range []string{"b1", "b2", "b3"} {
+		status := statusOf(host, "b")
+		status.Member.Protocol = membership.Protocol
+		mesh.ObserveStatus(status)
+	}
+	byPartition, _ := mesh.highestMember(partition, "b")
+	program := ""
+	for number := 0; program == ""; number++ {
+		if byProgram, _ := mesh.highestMember(fmt.Sprint("p", number), "b"); byProgram.Host != byPartition.Host {
+			program = fmt.Sprint("p", number)
+		}
+	}
+	is.Equal(mesh.budgetCoordinators(partition, program), map[string]Member{byPartition.Host: byPartition})
+	old := statusOf("a2", "a")
+	mesh.ObserveStatus(old)
+	byProgram, _ := mesh.highestMember(program, "b")
+	is.Equal(mesh.budgetCoordinators(partition, program), map[string]Member{byPartition.Host: byPartition, byProgram.Host: byProgram, "a2": old.Member})
+}
+
 // TestExchange guards against sending a request through a second host when the target
 // may have received it, and against giving up while another host can send it.
 func TestExchange(t *testing.T) {
