--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -12,7 +11,6 @@
 	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/history"
-	"github.com/godwitspread/godwitspread/internal/membership"
 	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/peer"
@@ -311,78 +309,6 @@
 	return response.Returned, false, err
 }
 
-// Reserve implements budget.Coordinators.
-func (mesh *Mesh) Reserve(ctx context.Context, address string, request budget.ReservationRequest) (budget.ReservationResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	var response budget.ReservationResponse
-	err := mesh.transport.Ask(ctx, address, methodReserve, request, &response)
-	return response, err
-}
-
-// Settle implements budget.Coordinators.
-func (mesh *Mesh) Settle(address string, settlement budget.Settlement) {
-	go func() {
-		var response emptyResponse
-		for range settleAttempts {
-			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-			err := mesh.transport.Ask(ctx, address, methodSettle, settlement, &response)
-			cancel()
-			if err == nil {
-				return
-			}
-		}
-		mesh.logger.WithFields(log.Fields{"program": settlement.Program, "address": address}).Info("reservation not settled; the coordinator counts it as spent")
-	}()
-}
-
-// Started implements budget.Coordinators. It asks the coordinators of the program's
-// partition in the other data centres whether the program has started. One that does not
-// respond in time may know it, so the program counts as started.
-func (mesh *Mesh) Started(ctx context.Context, partition, program string) bool {
-	ctx, cancel := context.WithTimeout(ctx, coordinatorTimeout)
-	defer cancel()
-	coordinators := mesh.budgetCoordinators(partition, program)
-	responses := make(chan bool, len(coordinators))
-	for _, coordinator := range coordinators {
-		go func() {
-			var response startedResponse
-			if err := mesh.transport.Ask(ctx, coordinator.Address, methodStarted, startedRequest{program}, &response); err != nil {
-				mesh.logger.WithError(err).WithFields(log.Fields{"peer": coordinator.Host, "program": program}).Info("coordinator did not say whether a program has started; admitting it")
-				response.Started = true
-			}
-			responses <- response.Started
-		}()
-	}
-	for range coordinators {
-		if <-responses {
-			return true
-		}
-	}
-	return false
-}
-
-// budgetCoordinators returns the other hosts that may count the budget of a program:
-// the coordinators of its partition in the other data centres and, while hosts of
-// protocol 0 are alive, those that these hosts choose for the program.
-func (mesh *Mesh) budgetCoordinators(partition, program string) map[string]Member {
-	coordinators := make(map[string]Member)
-	add := func(key, dataCentre string) {
-		if coordinator, found := mesh.highestMember(key, dataCentre); found {
-			coordinators[coordinator.Host] = coordinator
-		}
-	}
-	for _, dataCentre := range mesh.otherDataCentres() {
-		add(partition, dataCentre)
-	}
-	if slices.ContainsFunc(mesh.Reachable(), func(state membership.State) bool { return state.Protocol == 0 }) {
-		for _, dataCentre := range append(mesh.otherDataCentres(), mesh.self.DataCentre) {
-			add(program, dataCentre)
-		}
-	}
-	return coordinators
-}
-
 // otherDataCentres returns the other data centres with a reachable host.
 func (mesh *Mesh) otherDataCentres() []string {
 	known := map[string]bool{mesh.self.DataCentre: true}
