Return the unspent budgets of a host that leaves for good

Cause: a host allocates more of a budget than a turn needs. A planned stop returned nothing, and a recall from a host that is gone failed for good: only a restart under the same name counted as a loss, and after a minute the host was not known at all. Ruled out: reservations that never expire (the log shows "recall the part of host", no expired ones), the store (reachable throughout).

Change: a planned stop waits for turns that reserved tokens here, returns all unspent tokens to the store, and writes to its entry that it has ended. A recall from a host that has ended, has restarted, or has been silent for 2 s counts its allocation as spent, so the turn gets its final answer. Nothing is ever spent on behalf of another host, so one that wakes up from a freeze or a cut cannot overspend. Silence is not counted while this host itself stands still.

--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
 
@@ -23,12 +25,16 @@
 	ledgerRetention = 30 * time.Minute // since a program's last entry; allocations are small, so an active program makes a new one earlier
 )
 
+// ErrEnded reports that this host is about to end and reserves no more tokens.
+var ErrEnded = errors.New("host is ending and reserves no tokens")
+
 // ErrStoreUnreachable reports that no more of a budget can be allocated now.
 var ErrStoreUnreachable = errors.New("store is not reached, so no part of the budget can be taken")
 
 // RecallFunc asks another host to return its unspent allocation of a budget, and
-// returns the number of tokens. lost is true if that host has restarted since, so
-// that its allocation is forfeited.
+// returns the number of tokens. lost is true if that host has ended, has restarted, or
+// has been silent for so long that the caller need not wait for it. Its allocation then
+// counts as spent, so that nothing is counted twice should the host come back.
 type RecallFunc func(ctx context.Context, holder, program string) (returned int, lost bool, err error)
 
 // Allocator manages this host's allocations of budgets.
@@ -36,12 +42,14 @@
 	entryLog *entryLog
 	clock    clockwork.Clock
 	logger   log.Interface
+	metrics  *metric.Metrics
 	recall   RecallFunc
 	// reachable reports whether the store can be called.
 	reachable func() bool
 
 	mutex       sync.Mutex
 	allocations map[string]*allocation
+	ended       bool // this host has returned its allocations and allocates nothing any more
 }
 
 // allocation is the part of a program's budget that this host has allocated.
@@ -62,6 +70,7 @@
 	Expirer    *store.Expirer
 	Clock      clockwork.Clock
 	Logger     log.Interface
+	Metrics    *metric.Metrics
 	Holder     string // incarnation of the host
 	Partitions int
 	Recall     RecallFunc
@@ -71,7 +80,8 @@
 // NewAllocator returns an allocator without allocations.
 func NewAllocator(dependencies Dependencies) *Allocator {
 	allocator := &Allocator{
-		clock: dependencies.Clock, logger: dependencies.Logger, recall: dependencies.Recall, reachable: dependencies.Reachable, allocations: make(map[string]*allocation),
+		clock: dependencies.Clock, logger: dependencies.Logger, metrics: dependencies.Metrics, recall: dependencies.Recall, reachable: dependencies.Reachable,
+		allocations: make(map[string]*allocation),
 	}
 	allocator.entryLog = newEntryLog(dependencies, allocator.credit)
 	return allocator
@@ -120,6 +130,9 @@
 func (allocator *Allocator) Reserve(ctx context.Context, claim Claim) (*Reservation, error) {
 	program, tokens := claim.Program, claim.Tokens
 	allocation := allocator.allocation(program, claim.Budget)
+	if allocation == nil {
+		return nil, ErrEnded
+	}
 	if allocation.reserve(tokens, allocator.clock.Now()) {
 		return &Reservation{allocation: allocation, tokens: tokens}, nil
 	}
@@ -159,7 +172,11 @@
 	recalled := 0
 	for _, holder := range holders {
 		returned, lost, err := allocator.recall(ctx, holder, program)
-		if err != nil && !lost {
+		switch {
+		case lost:
+			allocator.metrics.Count("budget_holders_lost")
+			allocator.logger.WithError(err).WithFields(allocation.fields(program, tokens)).WithField("holder", holder).Info("holder of a part of the budget is gone; the part counts as spent")
+		case err != nil:
 			return fmt.Errorf("recall the part of host %q: %w", holder, err)
 		}
 		recalled += returned
@@ -198,23 +215,51 @@
 	if !ok {
 		return 0, nil
 	}
-	allocation.countsMutex.Lock()
-	available := max(0, allocation.allocated-allocation.spent-allocation.reserved)
-	budget := allocation.budget
-	allocation.reserved += available
-	allocation.countsMutex.Unlock()
+	available := allocation.withdraw()
 	if available == 0 {
 		return 0, nil
 	}
-	if err := allocator.entryLog.write(ctx, program, budget, -available); err != nil {
+	if err := allocator.entryLog.write(ctx, program, allocation.budget, -available); err != nil {
 		return 0, err
 	}
 	return available, nil
 }
 
+// ReleaseAll returns the unspent tokens of all allocations to the store, so that other
+// hosts can spend them after this one has ended. It returns the number of programs.
+func (allocator *Allocator) ReleaseAll(ctx context.Context) (programs int, err error) {
+	allocator.mutex.Lock()
+	allocator.ended = true
+	allocations := maps.Clone(allocator.allocations)
+	allocator.mutex.Unlock()
+	var pending []store.PendingAppend
+	for program, allocation := range allocations {
+		available := allocation.withdraw()
+		if available == 0 {
+			continue
+		}
+		returned, err := allocator.entryLog.queue(ctx, program, allocation.budget, -available)
+		if err != nil {
+			return len(pending), err
+		}
+		pending = append(pending, returned)
+	}
+	for _, returned := range pending {
+		if _, err := returned.Wait(ctx); err != nil {
+			return len(pending), err
+		}
+	}
+	return len(pending), nil
+}
+
+// allocation returns this host's allocation of a program's budget, which is empty at
+// first, or nil if the host has returned all allocations.
 func (allocator *Allocator) allocation(program string, budget int) *allocation {
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
+	if allocator.ended {
+		return nil
+	}
 	found, ok := allocator.allocations[program]
 	if !ok {
 		found = &allocation{budget: budget, lastUsed: allocator.clock.Now()}
@@ -253,6 +298,16 @@
 	return true
 }
 
+// withdraw reserves the tokens that are neither spent nor reserved, and returns their
+// number.
+func (allocation *allocation) withdraw() int {
+	allocation.countsMutex.Lock()
+	defer allocation.countsMutex.Unlock()
+	available := max(0, allocation.allocated-allocation.spent-allocation.reserved)
+	allocation.reserved += available
+	return available
+}
+
 // available returns the allocated tokens that are neither spent nor reserved.
 func (allocation *allocation) available() int {
 	allocation.countsMutex.Lock()
--- a/internal/budget/entrylog.go
+++ b/internal/budget/entrylog.go
@@ -67,20 +67,10 @@
 // tokens returns them.
 func (entryLog *entryLog) write(ctx context.Context, program string, budget, tokens int) error {
 	number := entryLog.partitionOf(program)
-	entryLog.mutex.Lock()
-	entryLog.serial++
-	serial := entryLog.serial
-	entryLog.pending[serial] = true
-	key := fmt.Sprintf("%s|%s|%d", program, entryLog.holder, serial)
-	entryLog.keys[program] = append(entryLog.keys[program], key)
-	entryLog.mutex.Unlock()
-	value, err := codec.Marshal(entry{
-		Program: program, Holder: entryLog.holder, Budget: budget, Tokens: tokens, Written: entryLog.clock.Now().UnixMilli(), Serial: serial,
-	})
+	record, err := entryLog.record(program, budget, tokens)
 	if err != nil {
 		return err
 	}
-	record := store.Record{Key: key, Value: value}
 	if record.Offset, err = entryLog.writer.Append(ctx, Topic, number, record); err != nil {
 		return err
 	}
@@ -90,6 +80,43 @@
 	return entryLog.readThrough(ctx, number, record.Offset)
 }
 
+// queue queues an entry without reading it back, and waits only while the queue is full.
+func (entryLog *entryLog) queue(ctx context.Context, program string, budget, tokens int) (store.PendingAppend, error) {
+	record, err := entryLog.record(program, budget, tokens)
+	if err != nil {
+		return store.PendingAppend{}, err
+	}
+	for {
+		pending, err := entryLog.writer.Queue(Topic, entryLog.partitionOf(program), record)
+		if !errors.Is(err, store.ErrQueueFull) {
+			return pending, err
+		}
+		select {
+		case <-entryLog.clock.After(queueRetryInterval):
+		case <-ctx.Done():
+			return store.PendingAppend{}, ctx.Err()
+		}
+	}
+}
+
+// queueRetryInterval is the time in which the store responds to an append.
+const queueRetryInterval = 10 * time.Millisecond
+
+// record returns the record of a new entry of this host.
+func (entryLog *entryLog) record(program string, budget, tokens int) (store.Record, error) {
+	entryLog.mutex.Lock()
+	entryLog.serial++
+	serial := entryLog.serial
+	entryLog.pending[serial] = true
+	key := fmt.Sprintf("%s|%s|%d", program, entryLog.holder, serial)
+	entryLog.keys[program] = append(entryLog.keys[program], key)
+	entryLog.mutex.Unlock()
+	value, err := codec.Marshal(entry{
+		Program: program, Holder: entryLog.holder, Budget: budget, Tokens: tokens, Written: entryLog.clock.Now().UnixMilli(), Serial: serial,
+	})
+	return store.Record{Key: key, Value: value}, err
+}
+
 // foldNext folds an entry that this host has appended, if it follows the last folded
 // one and need not be read back.
 func (entryLog *entryLog) foldNext(number int, record store.Record) bool {
--- a/internal/budget/protocol_test.go
+++ b/internal/budget/protocol_test.go
@@ -104,7 +104,7 @@
 	logger := &log.Logger{Handler: discard.Default}
 	writer := store.NewWriter(ctx, cluster.store, clock, logger, holder)
 	cluster.hosts[number] = NewAllocator(Dependencies{
-		Store: cluster.store, Writer: writer, Expirer: store.NewExpirer(writer, clock, logger), Clock: clock, Logger: logger, Holder: holder,
+		Store: cluster.store, Writer: writer, Expirer: store.NewExpirer(writer, clock, logger), Clock: clock, Logger: logger, Metrics: metric.Discard(), Holder: holder,
 		Partitions: 1, Recall: cluster.recall, Reachable: func() bool { return true },
 	})
 }
--- a/internal/budget/reserver.go
+++ b/internal/budget/reserver.go
@@ -178,6 +178,19 @@
 	}
 }
 
+// Outstanding returns the number of reservations of other hosts that are not settled.
+func (reserver *Reserver) Outstanding() int {
+	reserver.mutex.Lock()
+	defer reserver.mutex.Unlock()
+	count := 0
+	for _, remote := range reserver.remote {
+		if remote.reservation != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // ExpireReservations settles expired reservations of other hosts with all their
 // tokens as spent, and evicts ended programs.
 func (reserver *Reserver) ExpireReservations() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,7 @@
 	gateway.expirer = store.NewExpirer(gateway.writer, clock, logger)
 	partitions := settings.Store.Partitions
 	gateway.allocator = budget.NewAllocator(budget.Dependencies{
-		Store: gateway.store, Writer: gateway.writer, Expirer: gateway.expirer, Clock: clock, Logger: logger, Holder: gateway.self.Incarnation,
+		Store: gateway.store, Writer: gateway.writer, Expirer: gateway.expirer, Clock: clock, Logger: logger, Metrics: gateway.metrics, Holder: gateway.self.Incarnation,
 		Partitions: partitions, Recall: gateway.mesh.Recall, Reachable: gateway.store.Reachable,
 	})
 	gateway.limiter = quota.NewLimiter(gateway.mesh, clock, gateway.metrics)
@@ -272,6 +272,7 @@
 	defer cancel()
 	err := gateway.callerServer.shutdown(ctx)
 	gateway.awaitExchanges(ctx)
+	gateway.returnBudgets(ctx)
 	gateway.cancel()
 	for _, server := range gateway.servers {
 		// These listeners need no drain, because the host already reports that
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -21,6 +22,7 @@
 	isolationCheckInterval = 100 * time.Millisecond
 	targetCheckInterval    = 50 * time.Millisecond
 	lostCheckInterval      = 250 * time.Millisecond // while the targets are lost
+	returnTimeout          = 600 * time.Millisecond // to return unspent budgets to the store; within the time reserved for the exit
 	checkedTargets         = 3                      // targets that a check connects to; fewer would often be those that are down
 )
 
@@ -36,6 +38,31 @@
 	}
 }
 
+// returnBudgets returns the unspent parts of budgets to the store once the turns that
+// have reserved tokens of them have ended, or the context ends, and then records in the
+// store that this host has ended.
+func (gateway *Gateway) returnBudgets(ctx context.Context) {
+	for gateway.reserver.Outstanding()+gateway.mesh.Settling() > 0 && ctx.Err() == nil {
+		gateway.clock.Sleep(exchangePollInterval)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+	defer cancel()
+	programs, err := gateway.allocator.ReleaseAll(ctx)
+	entry := gateway.logger.WithFields(log.Fields{"programs": programs, "reservations": gateway.reserver.Outstanding()})
+	if err != nil {
+		entry.WithError(err).Warn("returning the unspent parts of budgets failed; they count as spent")
+		return
+	}
+	entry.Info("unspent parts of budgets returned")
+	value, err := gateway.mesh.EndedEntry()
+	if err == nil {
+		_, err = gateway.writer.Append(ctx, mesh.Topic, 0, store.Record{Key: gateway.self.Host, Value: value})
+	}
+	if err != nil {
+		gateway.logger.WithError(err).Warn("recording the end of this host in the store failed")
+	}
+}
+
 // evictUnused settles expired reservations, evicts ended programs, updates the
 // limits of idle connections, closes idle connections to removed targets, and
 // deletes their request limits and unused permits.
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -16,6 +16,10 @@
 
 // Next returns the calls that are due, and marks them as in flight.
 func (view *View) Next(now time.Time) Plan {
+	if now.Sub(view.nextAt) > standstill {
+		view.runningSince = now
+	}
+	view.nextAt = now
 	view.Refresh(now)
 	view.updateGroup(now)
 	candidates := view.candidates(now)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -45,6 +45,7 @@
 	// other hosts need none of its state.
 	MemberTTL = 60 * time.Second
 
+	standstill        = time.Second      // without an interval, after which this host was suspended or out of processor time
 	recentTime        = 5 * time.Second  // for which a new host is told to hosts of protocol 0
 	introductionTime  = 3 * time.Second  // after its discovery a host may be chosen as an aggregator before it was heard from
 	failurePause      = 2 * time.Second  // for which a host that did not respond to a report gets none
@@ -114,6 +115,8 @@
 	generation       uint64 // changes with the hosts that are alive or stopping
 	refreshedAt      time.Time
 	lost             []*member // remembered, but not alive
+	nextAt           time.Time // last interval
+	runningSince     time.Time // this host has heard others without a standstill
 }
 
 // NewView returns the view of a host that knows no others.
@@ -122,7 +125,7 @@
 	start := uint64(now.UnixNano()) // so that the numbers of an earlier incarnation are not repeated
 	return &View{
 		self: State{Member: self}, members: make(map[string]*member), groups: make(map[string]*group),
-		entries: make(map[string]*entry), sequence: start, groupSequence: start,
+		entries: make(map[string]*entry), sequence: start, groupSequence: start, nextAt: now, runningSince: now,
 	}
 }
 
@@ -341,6 +344,23 @@
 	return found.Member, true
 }
 
+// SilentFor returns for how long another host has not been alive, as far as this host
+// can know: it heard nobody before it started or while it stood still.
+func (view *View) SilentFor(host string, now time.Time) time.Duration {
+	view.refreshIfOld(now)
+	since := view.runningSince
+	if found, ok := view.members[host]; ok {
+		if found.living {
+			return 0
+		}
+		since = later(since, later(found.lastAlive, found.discovered))
+	}
+	if now.Sub(view.nextAt) > standstill {
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // LostDataCentres returns the data centres that have no living host but had one.
 func (view *View) LostDataCentres(now time.Time) map[string]bool {
 	view.refreshIfOld(now)
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -165,3 +165,33 @@
 		}
 	}
 }
+
+// TestSilentFor guards against taking hosts for lost after a standstill of this host:
+// it has heard nobody meanwhile, so the others have been silent for no time.
+func TestSilentFor(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	view := NewView(Member{Host: "a", Incarnation: "a/1", Address: "a:1"}, now)
+	state := State{Member: Member{Host: "b", Incarnation: "b/1", Address: "b:1", Protocol: Protocol}}
+	run := func(duration time.Duration, heard bool) {
+		for end := now.Add(duration); now.Before(end); {
+			now = now.Add(Interval)
+			if heard {
+				view.ObserveStatus(state, Summary{}, now)
+			}
+			view.Next(now)
+		}
+	}
+	run(2*time.Second, true)
+	is.Equal(view.SilentFor("b", now), time.Duration(0))
+	run(4*time.Second, false)
+	silence := view.SilentFor("b", now)
+	is.True(silence > 2*time.Second && silence < 4*time.Second) // it counts as alive for a while
+	is.Equal(view.SilentFor("unheard", now), 6*time.Second)     // since this host runs
+	now = now.Add(10 * time.Second)
+	is.Equal(view.SilentFor("b", now), time.Duration(0)) // before the first interval after the standstill
+	run(Interval, false)
+	is.Equal(view.SilentFor("b", now), time.Duration(0)) // after it
+	run(3*time.Second, false)
+	is.Equal(view.SilentFor("b", now), 3*time.Second)
+}
--- a/internal/mesh/budgets.go
+++ b/internal/mesh/budgets.go
@@ -21,7 +21,9 @@
 
 // Settle implements budget.Coordinators.
 func (mesh *Mesh) Settle(address string, settlement budget.Settlement) {
+	mesh.settling.Add(1)
 	go func() {
+		defer mesh.settling.Add(-1)
 		var response emptyResponse
 		for range settleAttempts {
 			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
@@ -35,6 +37,9 @@
 	}()
 }
 
+// Settling returns the number of settlements that have not reached their coordinators.
+func (mesh *Mesh) Settling() int { return int(mesh.settling.Load()) }
+
 // Started implements budget.Coordinators. It asks the coordinators of the program's
 // partition in the other data centres whether the program has started. One that does not
 // respond in time may know it, so the program counts as started.
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -232,6 +232,7 @@
 	peerTimeout        = 400 * time.Millisecond
 	reserveTimeout     = 300 * time.Millisecond // two store calls and a round trip between hosts, with a margin
 	settleAttempts     = 3
+	holderSilence      = 2 * time.Second // after which no caller's retries outlast the wait for a host's tokens
 	quotaTimeout       = 120 * time.Millisecond
 	permitTimeout      = 60 * time.Millisecond // shorter than a turn; another target may have room
 )
@@ -295,12 +296,18 @@
 }
 
 // Recall asks a host to return the unspent tokens of its allocation from a
-// program's budget. lost is true if the host has restarted since, so that its
-// allocation cannot be returned.
+// program's budget. lost is true if the host has ended, has restarted, or has been
+// silent for longer than a caller waits for its tokens.
 func (mesh *Mesh) Recall(ctx context.Context, incarnation, program string) (returned int, lost bool, err error) {
-	address, found, replaced := mesh.AddressByIncarnation(incarnation)
+	address, found, gone := mesh.AddressByIncarnation(incarnation)
+	if gone {
+		return 0, true, fmt.Errorf("host %q has ended", incarnation)
+	}
+	if silence := mesh.silentFor(incarnation); silence > holderSilence {
+		return 0, true, fmt.Errorf("host %q has been silent for %v", incarnation, silence.Round(time.Millisecond))
+	}
 	if !found {
-		return 0, replaced, fmt.Errorf("host %q is not known", incarnation)
+		return 0, false, fmt.Errorf("host %q is not known", incarnation)
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -33,6 +33,13 @@
 // Member describes a host, as its entry in the store does.
 type Member = membership.Member
 
+// entry is the record of a host in the store. An incarnation that has ended has returned
+// all that it held.
+type entry struct {
+	Member
+	Ended bool `msgpack:"e,omitempty"`
+}
+
 // Status is the state of a host. Hosts of membership protocol 0 send it to each other.
 type Status struct {
 	Member         Member                     `msgpack:"m"`
@@ -95,12 +102,14 @@
 	local     Local
 
 	leavingSince atomic.Pointer[time.Time]
+	settling     atomic.Int64 // settlements in transit
 
 	mutex        sync.Mutex
 	view         *membership.View
 	loadAt       time.Time // last sum of the load
 	generation   uint64    // of the view from which the following were determined
 	reachable    []membership.State
+	ended        map[string]string // incarnations that have ended, by host, as their entries say
 	coordinators map[coordinatorKey]Member
 }
 
@@ -110,7 +119,7 @@
 // New returns a mesh.
 func New(self Member, clock clockwork.Clock, logger log.Interface, local Local) *Mesh {
 	view := membership.NewView(self, clock.Now())
-	return &Mesh{self: view.Self().Member, offset: membership.Weight(self.Host, "relay"), clock: clock, logger: logger, local: local, view: view, coordinators: make(map[coordinatorKey]Member)}
+	return &Mesh{self: view.Self().Member, offset: membership.Weight(self.Host, "relay"), clock: clock, logger: logger, local: local, view: view, ended: make(map[string]string), coordinators: make(map[coordinatorKey]Member)}
 }
 
 // Self returns the entry of this host.
@@ -145,12 +154,30 @@
 		if record.IsTombstone() {
 			continue
 		}
-		var entry Member
-		if err := codec.Unmarshal(record.Value, &entry); err != nil {
+		var decoded entry
+		if err := codec.Unmarshal(record.Value, &decoded); err != nil {
 			mesh.logger.WithError(err).WithField("key", record.Key).Warn("entry of a host cannot be decoded")
 			continue
 		}
-		mesh.discover(entry)
+		if decoded.Ended {
+			mesh.recordEnd(decoded.Member)
+			continue
+		}
+		mesh.discover(decoded.Member)
+	}
+}
+
+// EndedEntry returns the entry of this host for the store that says that it has ended.
+func (mesh *Mesh) EndedEntry() ([]byte, error) {
+	return codec.Marshal(entry{Member: mesh.self, Ended: true})
+}
+
+func (mesh *Mesh) recordEnd(member Member) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if mesh.ended[member.Host] != member.Incarnation {
+		mesh.ended[member.Host] = member.Incarnation
+		mesh.logger.WithFields(log.Fields{"peer": member.Host, "incarnation": member.Incarnation}).Info("host has ended")
 	}
 }
 
@@ -273,18 +300,29 @@
 }
 
 // AddressByIncarnation returns the address of the host with an incarnation, which is
-// the name of the host, a slash, and a suffix. replaced is true if the host has
+// the name of the host, a slash, and a suffix. gone is true if the host has ended or has
 // restarted since.
-func (mesh *Mesh) AddressByIncarnation(incarnation string) (address string, found, replaced bool) {
+func (mesh *Mesh) AddressByIncarnation(incarnation string) (address string, found, gone bool) {
 	host, _, _ := strings.Cut(incarnation, "/")
 	if host == mesh.self.Host {
 		return "", false, true
 	}
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
+	if mesh.ended[host] == incarnation {
+		return "", false, true
+	}
 	member, known := mesh.view.Find(host)
 	if known && member.Incarnation == incarnation {
 		return member.Address, true, false
 	}
 	return "", false, known
 }
+
+// silentFor returns for how long the host with an incarnation has not been alive.
+func (mesh *Mesh) silentFor(incarnation string) time.Duration {
+	host, _, _ := strings.Cut(incarnation, "/")
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return mesh.view.SilentFor(host, mesh.clock.Now())
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -71,6 +71,26 @@
 	is.Equal(len(mesh.UnreachableHosts()), 0)
 }
 
+// TestEndedHost guards against waiting for the tokens of a host that has ended as
+// planned: its entry in the store says so, also to a host that has never heard of it.
+// A later incarnation has not ended.
+func TestEndedHost(t *testing.T) {
+	is := is.New(t)
+	ended := newTestMesh(clockwork.NewFakeClock(), "b1", "b")
+	value, err := ended.EndedEntry()
+	is.NoErr(err)
+	mesh := newTestMesh(clockwork.NewFakeClock(), "a1", "a")
+	mesh.Apply([]store.Record{{Key: "b1", Value: value}}, true)
+	is.Equal(mesh.Size(), 1) // nothing is expected of the host
+	_, lost, err := mesh.Recall(context.Background(), "b1/1", "p")
+	is.True(lost && err != nil)
+	restarted, err := codec.Marshal(Member{Host: "b1", Incarnation: "b1/2", Address: "b1:1", DataCentre: "b"})
+	is.NoErr(err)
+	mesh.Apply([]store.Record{{Key: "b1", Value: restarted}}, false)
+	_, found, gone := mesh.AddressByIncarnation("b1/2")
+	is.True(found && !gone)
+}
+
 // TestCoordinators checks that hosts that reach each other agree on the
 // coordinator of each program, that programs are spread over the hosts, and
 // that a stopping host coordinates no program.
