Keep all entries of a program whose budget is still used, and return idle parts

A ledger in memory forgot a program by the age of the newest entry that it had read, not by what is in the log. An idle allocation was forgotten with its unspent tokens.

Ledgers forget programs by the age at the last read. Idle allocations are returned to the store; a recall waits for a return in transit.

budget.TestLongProgram (with and without a reload) fails with each of these taken out: entries expired one by one, the age taken from the clock, no return.

--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -19,10 +19,12 @@
 var ErrSpent = errors.New("program budget is spent")
 
 const (
-	allocationShare = 0.4              // largest fraction of a budget that a host allocates beyond what it needs
-	allocationTurns = 2                // turns of the claimed size that a host allocates at once, which bounds what a lost host forfeits
-	allocationIdle  = 3 * time.Minute  // after which an allocation is evicted; longer than any route retains a program without requests
-	ledgerRetention = 30 * time.Minute // since a program's last entry; allocations are small, so an active program makes a new one earlier
+	allocationShare = 0.4             // largest fraction of a budget that a host allocates beyond what it needs
+	allocationTurns = 2               // turns of the claimed size that a host allocates at once, which bounds what a lost host forfeits
+	allocationIdle  = 3 * time.Minute // after which an allocation is returned; longer than any route retains a program without requests
+	// programRetention is how long the entries of a program are stored after the last
+	// one. Allocations are small, so an active program makes a new one earlier.
+	programRetention = 5 * time.Minute
 )
 
 // ErrEnded reports that this host is about to end and reserves no more tokens.
@@ -49,7 +51,14 @@
 
 	mutex       sync.Mutex
 	allocations map[string]*allocation
-	ended       bool // this host has returned its allocations and allocates nothing any more
+	returning   map[string]idleReturn // of evicted allocations, until the store has acknowledged them
+	ended       bool                  // this host has returned its allocations and allocates nothing any more
+}
+
+// idleReturn is the return of an idle allocation.
+type idleReturn struct {
+	tokens  int
+	pending store.PendingAppend
 }
 
 // allocation is the part of a program's budget that this host has allocated.
@@ -67,7 +76,6 @@
 type Dependencies struct {
 	Store      store.Store
 	Writer     *store.Writer
-	Expirer    *store.Expirer
 	Clock      clockwork.Clock
 	Logger     log.Interface
 	Metrics    *metric.Metrics
@@ -81,7 +89,7 @@
 func NewAllocator(dependencies Dependencies) *Allocator {
 	allocator := &Allocator{
 		clock: dependencies.Clock, logger: dependencies.Logger, metrics: dependencies.Metrics, recall: dependencies.Recall, reachable: dependencies.Reachable,
-		allocations: make(map[string]*allocation),
+		allocations: make(map[string]*allocation), returning: make(map[string]idleReturn),
 	}
 	allocator.entryLog = newEntryLog(dependencies, allocator.credit)
 	return allocator
@@ -211,18 +219,24 @@
 func (allocator *Allocator) Release(ctx context.Context, program string) (int, error) {
 	allocator.mutex.Lock()
 	allocation, ok := allocator.allocations[program]
+	idle, returning := allocator.returning[program]
 	allocator.mutex.Unlock()
+	if returning {
+		if _, err := idle.pending.Wait(ctx); err != nil {
+			return 0, err
+		}
+	}
 	if !ok {
-		return 0, nil
+		return idle.tokens, nil
 	}
 	available := allocation.withdraw()
 	if available == 0 {
-		return 0, nil
+		return idle.tokens, nil
 	}
 	if err := allocator.entryLog.write(ctx, program, allocation.budget, -available); err != nil {
 		return 0, err
 	}
-	return available, nil
+	return idle.tokens + available, nil
 }
 
 // ReleaseAll returns the unspent tokens of all allocations to the store, so that other
@@ -238,7 +252,7 @@
 		if available == 0 {
 			continue
 		}
-		returned, err := allocator.entryLog.queue(ctx, program, allocation.budget, -available)
+		returned, err := allocator.entryLog.queueWhenFree(ctx, program, allocation.budget, -available)
 		if err != nil {
 			return len(pending), err
 		}
@@ -268,21 +282,46 @@
 	return found
 }
 
-// evict removes allocations that have been idle and have no reservations, and
-// programs without recent entries from the ledgers.
+// evict returns allocations that have been idle and have no reservations, because their
+// programs may go on at other hosts, and removes ended programs from the ledgers.
 func (allocator *Allocator) evict() {
 	before := allocator.clock.Now().Add(-allocationIdle)
+	idle := make(map[string]*allocation)
 	allocator.mutex.Lock()
+	for program, idle := range allocator.returning {
+		if idle.pending.Done() {
+			delete(allocator.returning, program)
+		}
+	}
 	for program, allocation := range allocator.allocations {
-		allocation.countsMutex.Lock()
-		if allocation.reserved == 0 && allocation.lastUsed.Before(before) {
+		if allocation.idleSince(before) {
 			delete(allocator.allocations, program)
-			allocator.entryLog.drop(program)
+			idle[program] = allocation
 		}
-		allocation.countsMutex.Unlock()
 	}
 	allocator.mutex.Unlock()
-	allocator.entryLog.evict(allocator.clock.Now().Add(-ledgerRetention))
+	for program, allocation := range idle {
+		available := allocation.withdraw()
+		if available == 0 {
+			continue
+		}
+		pending, err := allocator.entryLog.queue(program, allocation.budget, -available)
+		if err != nil {
+			allocator.logger.WithError(err).WithField("program", program).Warn("returning an idle part of a budget failed; it counts as spent")
+			continue
+		}
+		allocator.mutex.Lock()
+		allocator.returning[program] = idleReturn{available, pending}
+		allocator.mutex.Unlock()
+	}
+	allocator.entryLog.evict()
+}
+
+// idleSince reports whether no tokens are reserved and none have been since a time.
+func (allocation *allocation) idleSince(before time.Time) bool {
+	allocation.countsMutex.Lock()
+	defer allocation.countsMutex.Unlock()
+	return allocation.reserved == 0 && allocation.lastUsed.Before(before)
 }
 
 // reserve sets tokens aside if that many are available, and reports whether it
--- a/internal/budget/entrylog.go
+++ b/internal/budget/entrylog.go
@@ -21,7 +21,8 @@
 type partition struct {
 	mutex  sync.Mutex
 	ledger *ledger
-	next   int64 // offset of the next read; negative if the partition must be listed first
+	next   int64     // offset of the next read; negative if the partition must be listed first
+	readAt time.Time // all entries written before are in the ledger
 }
 
 // entryLog appends this host's entries to the store and folds the entries of all
@@ -38,15 +39,13 @@
 
 	mutex   sync.Mutex
 	serial  int64
-	pending map[int64]bool      // serials of this host's entries that have not been read back
-	keys    map[string][]string // of this host's entries, by program
-	expirer *store.Expirer
+	pending map[int64]bool // serials of this host's entries that have not been read back
 }
 
 func newEntryLog(dependencies Dependencies, credit func(program string, granted int)) *entryLog {
 	entryLog := &entryLog{
-		store: dependencies.Store, writer: dependencies.Writer, expirer: dependencies.Expirer, clock: dependencies.Clock, holder: dependencies.Holder, credit: credit,
-		pending: make(map[int64]bool), keys: make(map[string][]string),
+		store: dependencies.Store, writer: dependencies.Writer, clock: dependencies.Clock, holder: dependencies.Holder, credit: credit,
+		pending: make(map[int64]bool),
 	}
 	for range dependencies.Partitions {
 		entryLog.partitions = append(entryLog.partitions, &partition{ledger: newLedger(), next: -1})
@@ -80,8 +79,17 @@
 	return entryLog.readThrough(ctx, number, record.Offset)
 }
 
-// queue queues an entry without reading it back, and waits only while the queue is full.
-func (entryLog *entryLog) queue(ctx context.Context, program string, budget, tokens int) (store.PendingAppend, error) {
+// queue queues an entry without waiting for the store.
+func (entryLog *entryLog) queue(program string, budget, tokens int) (store.PendingAppend, error) {
+	record, err := entryLog.record(program, budget, tokens)
+	if err != nil {
+		return store.PendingAppend{}, err
+	}
+	return entryLog.writer.Queue(Topic, entryLog.partitionOf(program), record)
+}
+
+// queueWhenFree queues an entry once the queue has room.
+func (entryLog *entryLog) queueWhenFree(ctx context.Context, program string, budget, tokens int) (store.PendingAppend, error) {
 	record, err := entryLog.record(program, budget, tokens)
 	if err != nil {
 		return store.PendingAppend{}, err
@@ -108,13 +116,11 @@
 	entryLog.serial++
 	serial := entryLog.serial
 	entryLog.pending[serial] = true
-	key := fmt.Sprintf("%s|%s|%d", program, entryLog.holder, serial)
-	entryLog.keys[program] = append(entryLog.keys[program], key)
 	entryLog.mutex.Unlock()
 	value, err := codec.Marshal(entry{
 		Program: program, Holder: entryLog.holder, Budget: budget, Tokens: tokens, Written: entryLog.clock.Now().UnixMilli(), Serial: serial,
 	})
-	return store.Record{Key: key, Value: value}, err
+	return store.Record{Key: fmt.Sprintf("%s|%s|%d", program, entryLog.holder, serial), Value: value}, err
 }
 
 // foldNext folds an entry that this host has appended, if it follows the last folded
@@ -149,6 +155,7 @@
 // readPage folds the next page of a partition, or lists the partition if its
 // next offset is unknown or trimmed. The caller must have locked the partition.
 func (entryLog *entryLog) readPage(ctx context.Context, number int, partition *partition, offset int64) error {
+	start := entryLog.clock.Now()
 	if partition.next < 0 {
 		return entryLog.reload(ctx, number, partition)
 	}
@@ -164,12 +171,16 @@
 		return fmt.Errorf("partition %d ends at %d, expected an entry at %d", number, page.End, offset)
 	}
 	partition.next = page.Next
+	if page.Next >= page.End {
+		partition.readAt = start
+	}
 	return partition.ledger.fold(page.Records, page.Next, entryLog.creditOwnEntry)
 }
 
 // reload replaces the ledger of a partition by one of the newest record of each
 // key.
 func (entryLog *entryLog) reload(ctx context.Context, number int, partition *partition) error {
+	start := entryLog.clock.Now()
 	records, end, err := store.ListAll(ctx, entryLog.store, Topic, number)
 	if err != nil {
 		return err
@@ -178,7 +189,7 @@
 	if err := fresh.fold(records, end, entryLog.creditOwnEntry); err != nil {
 		return err
 	}
-	partition.ledger, partition.next = fresh, end
+	partition.ledger, partition.next, partition.readAt = fresh, end, start
 	return nil
 }
 
@@ -205,36 +216,35 @@
 	return partition.ledger.allocated(program), partition.ledger.holders(program, entryLog.holder)
 }
 
-// drop queues the removal of this host's entries of an ended program from the
-// store.
-func (entryLog *entryLog) drop(program string) {
-	entryLog.mutex.Lock()
-	keys := entryLog.keys[program]
-	delete(entryLog.keys, program)
-	entryLog.mutex.Unlock()
-	if len(keys) > 0 {
-		entryLog.expirer.DeleteAfter(Topic, entryLog.partitionOf(program), 0, keys...)
-	}
-}
-
-// ExpiredKeys returns the keys of entries that are so old that their programs
-// have ended.
+// ExpiredKeys returns the keys of the entries of ended programs among all records of a
+// partition. The entries of a program expire together: without some of them, too few of
+// its tokens would count as allocated.
 func ExpiredKeys(records []store.Record, now time.Time) []string {
-	var keys []string
+	keys, newest := make(map[string][]string), make(map[string]int64)
 	for _, record := range records {
 		var decoded entry
-		if err := codec.Unmarshal(record.Value, &decoded); err == nil && now.Sub(time.UnixMilli(decoded.Written)) > ledgerRetention {
-			keys = append(keys, record.Key)
+		if err := codec.Unmarshal(record.Value, &decoded); err != nil {
+			continue
+		}
+		keys[decoded.Program] = append(keys[decoded.Program], record.Key)
+		newest[decoded.Program] = max(newest[decoded.Program], decoded.Written)
+	}
+	var expired []string
+	for program, written := range newest {
+		if now.Sub(time.UnixMilli(written)) > programRetention {
+			expired = append(expired, keys[program]...)
 		}
 	}
-	return keys
+	return expired
 }
 
-// evict removes ended programs from the ledgers in memory.
-func (entryLog *entryLog) evict(before time.Time) {
+// evict removes ended programs from the ledgers in memory. A program without recent
+// entries may have newer ones that have not been read, so its age is that of the last
+// read.
+func (entryLog *entryLog) evict() {
 	for _, partition := range entryLog.partitions {
 		partition.mutex.Lock()
-		partition.ledger.evict(before)
+		partition.ledger.evict(partition.readAt.Add(-programRetention))
 		partition.mutex.Unlock()
 	}
 }
--- a/internal/budget/protocol_test.go
+++ b/internal/budget/protocol_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -74,6 +75,13 @@
 	return store.Page{Records: append([]store.Record{}, records[min(read.From, end):]...), Next: end, End: end}, nil
 }
 
+// trim makes the store forget its history.
+func (memoryStore *memoryStore) trim() {
+	memoryStore.mutex.Lock()
+	defer memoryStore.mutex.Unlock()
+	memoryStore.firstOffset[0] = int64(len(memoryStore.records[0]))
+}
+
 func (memoryStore *memoryStore) List(_ context.Context, list store.List) (store.Listing, error) {
 	memoryStore.mutex.Lock()
 	defer memoryStore.mutex.Unlock()
@@ -87,6 +95,7 @@
 // cluster is a set of hosts that share one program's budget.
 type cluster struct {
 	store   *memoryStore
+	clock   clockwork.Clock // the real one by default
 	hosts   []*Allocator
 	cancels []context.CancelFunc
 	starts  int
@@ -100,11 +109,13 @@
 	cluster.cancels[number] = cancel
 	cluster.starts++
 	holder := fmt.Sprintf("h%d/%d", number, cluster.starts)
-	clock := clockwork.NewRealClock()
-	logger := &log.Logger{Handler: discard.Default}
+	if cluster.clock == nil {
+		cluster.clock = clockwork.NewRealClock()
+	}
+	clock, logger := cluster.clock, &log.Logger{Handler: discard.Default}
 	writer := store.NewWriter(ctx, cluster.store, clock, logger, holder)
 	cluster.hosts[number] = NewAllocator(Dependencies{
-		Store: cluster.store, Writer: writer, Expirer: store.NewExpirer(writer, clock, logger), Clock: clock, Logger: logger, Metrics: metric.Discard(), Holder: holder,
+		Store: cluster.store, Writer: writer, Clock: clock, Logger: logger, Metrics: metric.Discard(), Holder: holder,
 		Partitions: 1, Recall: cluster.recall, Reachable: func() bool { return true },
 	})
 }
@@ -152,9 +163,7 @@
 				cluster.startHost(number)
 				continue
 			case 1:
-				cluster.store.mutex.Lock()
-				cluster.store.firstOffset[0] = int64(len(cluster.store.records[0]))
-				cluster.store.mutex.Unlock()
+				cluster.store.trim()
 			}
 			claimed := rapid.IntRange(50, 400).Draw(t, "tokens")
 			ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
@@ -311,3 +320,70 @@
 	_, err = other.Reserve(context.Background(), claim)
 	is.NoErr(err)
 }
+
+// sweep deletes the records that have expired, as the host that sweeps the partition does.
+func (cluster *cluster) sweep() {
+	cluster.store.mutex.Lock()
+	defer cluster.store.mutex.Unlock()
+	records := cluster.store.records[0]
+	expired := ExpiredKeys(records, cluster.clock.Now())
+	for index, record := range records {
+		if slices.Contains(expired, record.Key) {
+			records[index].Value = nil
+		}
+	}
+}
+
+// TestLongProgram guards against counting too few tokens as allocated while a program
+// goes on for longer than its hosts remember it: hosts that have not used it for a while
+// must delete none of its entries, and must return what they do not use.
+func TestLongProgram(t *testing.T) {
+	const budget, tokens, used = 2000, 100, 50
+	for _, reload := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reload %t", reload), func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			cluster := &cluster{store: newMemoryStore(), clock: clock, hosts: make([]*Allocator, 4), cancels: make([]context.CancelFunc, 4)}
+			for number := range cluster.hosts {
+				cluster.startHost(number)
+				defer cluster.cancels[number]()
+			}
+			generated, spent := 0, false
+			turn := func(host int) {
+				reservation, err := cluster.hosts[host].Reserve(context.Background(), Claim{Program: "p", Budget: budget, Tokens: tokens})
+				if errors.Is(err, ErrSpent) {
+					spent = true
+					return
+				}
+				is.NoErr(err)
+				reservation.Settle(used)
+				generated += used
+			}
+			turn(0)
+			for minute := 0; generated < budget-3*tokens && minute < 100; minute++ {
+				turn(1)
+				turn(2)
+				clock.Advance(time.Minute)
+				for _, host := range cluster.hosts {
+					host.evict()
+				}
+				cluster.sweep()
+				if reload {
+					cluster.store.trim()
+					cluster.startHost(3)
+					turn(3) // by a host that lists the partition
+					_, err := cluster.hosts[3].ReleaseAll(context.Background())
+					is.NoErr(err)
+				} else if minute == 2 {
+					turn(3)
+				}
+			}
+			cluster.hosts[3].ended = false
+			for !spent && generated <= budget {
+				turn(3) // by a host that may not have read the partition for many minutes
+			}
+			is.True(generated <= budget)
+			is.True(generated > budget-tokens) // nothing is lost
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,7 @@
 	gateway.expirer = store.NewExpirer(gateway.writer, clock, logger)
 	partitions := settings.Store.Partitions
 	gateway.allocator = budget.NewAllocator(budget.Dependencies{
-		Store: gateway.store, Writer: gateway.writer, Expirer: gateway.expirer, Clock: clock, Logger: logger, Metrics: gateway.metrics, Holder: gateway.self.Incarnation,
+		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Metrics: gateway.metrics, Holder: gateway.self.Incarnation,
 		Partitions: partitions, Recall: gateway.mesh.Recall, Reachable: gateway.store.Reachable,
 	})
 	gateway.limiter = quota.NewLimiter(gateway.mesh, clock, gateway.metrics)
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -78,6 +78,16 @@
 	}
 }
 
+// Done reports whether the store has responded.
+func (pending PendingAppend) Done() bool {
+	select {
+	case <-pending.queued.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Queue queues records for appending without waiting for the response.
 func (writer *Writer) Queue(topic string, partition int, records ...Record) (PendingAppend, error) {
 	item := &queuedAppend{records: records, done: make(chan struct{})}
