Count the tokens of a turn by the configuration at its arrival

Cause: the tokens of an event were looked up in the configuration in force when the turn ended. If its service had left the configuration, or was no engine any more, each event counted as one token and the rest of the reservation was free again. Ruled out: the ledger (the same budget is exact without the change of the configuration), resumed streams (none in the case).

Change: a request keeps the version of the configuration that it was admitted by; tokens an event and the version in its log lines come from it. The route, workspace, retention and limits were kept from the beginning already (read through). An event whose write to the caller fails counts too, since it may have arrived.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -31,6 +31,7 @@
 	if table == nil {
 		return newRejection(http.StatusServiceUnavailable, "no_configuration").withRetryDelay(startRetryDelay)
 	}
+	exchange.table = table
 	if rejection := exchange.authorize(table); rejection != nil {
 		if !handler.configuration.Current() {
 			return newRejection(http.StatusServiceUnavailable, "stale_configuration").withRetryDelay(staleRetryDelay)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -133,6 +133,7 @@
 	handler       *Handler
 	writer        http.ResponseWriter
 	request       *request.Request
+	table         *route.Table // version of the configuration by which the request is served, also if a later one comes into force meanwhile
 	route         *route.Route
 	workspace     *route.Workspace
 	service       string
--- a/internal/front/rejection.go
+++ b/internal/front/rejection.go
@@ -92,8 +92,8 @@
 	if exchange.route != nil {
 		fields["route"] = exchange.route.Name
 	}
-	if table := exchange.handler.configuration.Table(); table != nil {
-		fields["version"] = table.Version()
+	if exchange.table != nil {
+		fields["version"] = exchange.table.Version()
 	}
 	if len(exchange.triedTargets) > 0 {
 		fields["targets"] = exchange.triedTargets
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -161,6 +161,7 @@
 			exchange.writeHead(response)
 			exchange.handler.metrics.ObserveLatency("first_event", exchange.handler.clock.Since(exchange.arrivedAt))
 		}
+		relay.events++ // a write that fails may have reached the caller
 		if _, err := exchange.writer.Write(event.raw); err != nil {
 			return err
 		}
@@ -171,7 +172,6 @@
 		if event.id != "" {
 			relay.lastEvent = event.id
 		}
-		relay.events++
 		if relay.retainsOutput {
 			relay.output.Write(event.data)
 			relay.output.WriteByte('\n')
@@ -214,12 +214,11 @@
 	return nil
 }
 
-// tokensPerEvent returns the number of budget tokens charged per event.
+// tokensPerEvent returns the number of budget tokens charged per event. Its service may
+// have left the configuration since the request arrived.
 func (exchange *exchange) tokensPerEvent() int {
-	if table := exchange.handler.configuration.Table(); table != nil {
-		if service := table.Service(exchange.service); service != nil && service.Engine != nil {
-			return service.Engine.EventTokens
-		}
+	if service := exchange.table.Service(exchange.service); service != nil && service.Engine != nil {
+		return service.Engine.EventTokens
 	}
 	return 1
 }
