Refund quota at the time of the request it belongs to

Cause: the quota of a refused request came back as negative use at the time of the workspace's next request. Once the request had left the window, its quota was free already, and the refund granted it a second time for a whole window.

Change: an admission names the account and the slot of the window in which it is recorded, and a refund removes the use there, or does nothing once the slot has left the window or another host keeps the account. A refund for an account on the same host is applied at once. A request whose caller leaves during its delay is refunded too. Related paths read: permits of targets and waits are never given back; an old host's refunds (a bare count) are ignored, and old coordinators get none, so mixed builds grant less for a window, never more.

TestRefundedRequests compares admissions as before, with places in place of counts. TestLateRefunds fails if refunds are recorded at the present time, as before this change, and if slots outside of the window are accepted.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -59,12 +59,12 @@
 			Program: decoded.Program, Route: exchange.route.Name, Urgent: exchange.urgent(), ProgramTimeLeft: decoded.ProgramTimeLeft,
 		}
 		start := handler.clock.Now()
-		admitted, retryDelay := handler.rateLimiter.Admit(incoming.Context(), admissionRequest)
+		admission := handler.rateLimiter.Admit(incoming.Context(), admissionRequest)
 		exchange.waitTime += handler.clock.Since(start)
-		if !admitted {
-			return newRejection(http.StatusTooManyRequests, "rate_exceeded").withRetryDelay(retryDelay).withCause(fmt.Errorf("workspace exceeds its rate of %g requests per second with a burst of %g", exchange.workspace.Rate, exchange.workspace.Burst))
+		if !admission.Admitted {
+			return newRejection(http.StatusTooManyRequests, "rate_exceeded").withRetryDelay(admission.RetryAfter).withCause(fmt.Errorf("workspace exceeds its rate of %g requests per second with a burst of %g", exchange.workspace.Rate, exchange.workspace.Burst))
 		}
-		exchange.rateCharged = true
+		exchange.rateUse = admission.Use
 	}
 	return nil
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -40,11 +40,10 @@
 
 // RateLimiter enforces the request rates of workspaces.
 type RateLimiter interface {
-	// Admit waits until a request may run. If the request is rejected, it
-	// returns false and the delay after which the caller may retry.
-	Admit(ctx context.Context, admissionRequest quota.AdmissionRequest) (admitted bool, retryDelay time.Duration)
+	// Admit decides on a request and waits until it may run.
+	Admit(ctx context.Context, admissionRequest quota.AdmissionRequest) quota.Admission
 	// Refund returns the quota of an admitted request that did not run.
-	Refund(workspace string)
+	Refund(workspace string, use quota.Use)
 }
 
 // BudgetReserver reserves tokens of program budgets for turns.
@@ -146,7 +145,7 @@
 	triedVersions []string       // software versions of these targets
 	possibleRuns  int            // number of targets that may have run the request
 	waitTime      time.Duration  // time spent waiting for the store and other hosts
-	rateCharged   bool           // the request counts against the workspace's rate
+	rateUse       quota.Use      // of the workspace's rate by the request
 	settleBudget  func(used int) // settles the turn's budget reservation
 }
 
--- a/internal/front/rejection.go
+++ b/internal/front/rejection.go
@@ -49,8 +49,8 @@
 // workspace's quota if no target can have run the request.
 func (exchange *exchange) writeRejection(rejection *rejection) {
 	handler := exchange.handler
-	if exchange.rateCharged && exchange.possibleRuns == 0 {
-		handler.rateLimiter.Refund(exchange.workspace.Name)
+	if exchange.workspace != nil && exchange.possibleRuns == 0 {
+		handler.rateLimiter.Refund(exchange.workspace.Name, exchange.rateUse)
 	}
 	handler.metrics.CountRefusal(refusal.Code(rejection.reason))
 	header := exchange.writer.Header()
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -3,7 +3,10 @@
 // hosts send their admission requests to it.
 package quota
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	initialGrant            = 100 * time.Millisecond // part of the window for which a new account is granted quota; the previous coordinator may have used the rest
@@ -25,6 +28,7 @@
 // it has used. New programs are therefore admitted only while the forecast need
 // of the active ones leaves room for theirs.
 type Account struct {
+	id         uint64 // of the window; the uses of another one cannot be refunded
 	policy     Policy
 	limit      Limit
 	window     *window
@@ -43,7 +47,7 @@
 // of the window.
 func NewAccount(limit Limit, policy Policy, profiles *RouteProfiles, now time.Time) *Account {
 	return &Account{
-		limit: limit, policy: policy, window: newWindow(limit.Window, now.Add(-initialGrant)), updated: now, lastExpiry: now,
+		id: rand.Uint64(), limit: limit, policy: policy, window: newWindow(limit.Window, now.Add(-initialGrant)), updated: now, lastExpiry: now,
 		programs: make(map[string]*program), profiles: profiles,
 	}
 }
@@ -52,11 +56,13 @@
 // that this account may grant; it is below 1 while some hosts are unreachable.
 func (account *Account) Serve(request AdmissionRequest, share float64, now time.Time) AdmissionResponse {
 	if request.Limit.Window != account.limit.Window {
-		account.window = newWindow(request.Limit.Window, now)
+		account.id, account.window = rand.Uint64(), newWindow(request.Limit.Window, now)
 	}
 	account.limit = request.Limit
 	account.window.advance(now, account.limit.capacity(), share)
-	account.window.record(-float64(request.Refunded), 0)
+	for _, use := range request.Refunds {
+		account.refund(use)
+	}
 	account.updated = now
 	if now.Sub(account.lastExpiry) >= maxRequestGap/8 {
 		account.expirePrograms(now)
@@ -67,6 +73,18 @@
 	return account.admitNew(request, now)
 }
 
+// refund removes the use of a request that has not run, if it was recorded by this
+// account and is still in the window. Recorded at a later time, the refund would outlast
+// the use.
+func (account *Account) refund(use Use) bool {
+	return use.Account == account.id && account.window.remove(use.Slot)
+}
+
+// record counts the use of an admitted request after a delay.
+func (account *Account) record(delay time.Duration) Use {
+	return Use{Account: account.id, Slot: account.window.record(1, delay)}
+}
+
 // admitNew admits a new program if the forecast need of the active programs
 // leaves room for its own.
 func (account *Account) admitNew(request AdmissionRequest, now time.Time) AdmissionResponse {
@@ -88,11 +106,11 @@
 	if headroom < 0 {
 		return AdmissionResponse{RetryAfter: clampRetryAfter(time.Duration(-headroom / account.limit.sustainedRate() * float64(time.Second)))}
 	}
-	window.record(1, 0)
+	use := account.record(0)
 	account.programs[request.Program] = newProgram
 	account.ordered = append(account.ordered, newProgram)
 	account.committed += need
-	return AdmissionResponse{Admitted: true}
+	return AdmissionResponse{Admitted: true, Use: use}
 }
 
 // admitOngoing admits a request of an active program, or one without a program.
@@ -113,7 +131,7 @@
 		}
 		response.Delay = wait
 	}
-	account.window.record(1, response.Delay)
+	response.Use = account.record(response.Delay)
 	if program, ok := account.programs[request.Program]; ok {
 		program.requests++
 		program.lastRequest = now
--- a/internal/quota/account_test.go
+++ b/internal/quota/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -184,7 +185,7 @@
 			for number := range 15 {
 				program := fmt.Sprint(burst, "/", number)
 				response := account.Serve(AdmissionRequest{Limit: limit, Program: program, Route: "r", ProgramTimeLeft: 1500 * time.Millisecond}, 1, now)
-				is.Equal(response, AdmissionResponse{Admitted: true})
+				is.Equal(withoutUse(response), AdmissionResponse{Admitted: true})
 			}
 			now = now.Add(70 * time.Millisecond)
 		}
@@ -201,7 +202,7 @@
 	account := NewAccount(limit, DefaultPolicy, NewRouteProfiles(), now)
 	admitAll := func(share float64) int {
 		admitted := 0
-		for account.Serve(AdmissionRequest{Limit: limit}, share, now) == (AdmissionResponse{Admitted: true}) {
+		for withoutUse(account.Serve(AdmissionRequest{Limit: limit}, share, now)) == (AdmissionResponse{Admitted: true}) {
 			admitted++
 		}
 		return admitted
@@ -228,7 +229,7 @@
 		account.Serve(AdmissionRequest{Limit: low}, 1, now)
 	}
 	admitted := 0
-	for account.Serve(AdmissionRequest{Limit: high}, 1, now) == (AdmissionResponse{Admitted: true}) {
+	for withoutUse(account.Serve(AdmissionRequest{Limit: high}, 1, now)) == (AdmissionResponse{Admitted: true}) {
 		admitted++
 	}
 	is.True(admitted >= 170) // 240 minus the 60 used under the lower limit
@@ -242,9 +243,79 @@
 	limit := Limit{Rate: 10, Burst: 10, Window: 5 * time.Second}
 	now := time.Unix(1000, 0)
 	account := NewAccount(limit, DefaultPolicy, NewRouteProfiles(), now)
-	for number := range 600 {
+	var refunds []Use
+	for range 600 {
 		now = now.Add(10 * time.Millisecond)
-		is.True(account.Serve(AdmissionRequest{Limit: limit, Refunded: min(1, number)}, 1, now).Admitted)
+		response := account.Serve(AdmissionRequest{Limit: limit, Refunds: refunds}, 1, now)
+		is.True(response.Admitted)
+		refunds = []Use{response.Use}
+	}
+	other := NewAccount(limit, DefaultPolicy, NewRouteProfiles(), now)
+	use := other.Serve(AdmissionRequest{Limit: limit}, 1, now).Use
+	is.True(!other.refund(Use{Account: account.id, Slot: use.Slot})) // recorded by another account
+	is.True(other.refund(use))
+	is.True(!other.refund(use)) // nothing is left to refund
+}
+
+// withoutUse returns a response without the place of its use, which depends on the account.
+func withoutUse(response AdmissionResponse) AdmissionResponse {
+	response.Use = Use{}
+	return response
+}
+
+// TestLateRefunds guards against granting the same quota twice: once when the use of a
+// request leaves the window, and once more by its refund. In every other interval no
+// request runs, and all are refunded later; the account may move to another host, which
+// knows nothing of them.
+func TestLateRefunds(t *testing.T) {
+	const (
+		window = 5 * time.Second
+		step   = 10 * time.Millisecond
+	)
+	limit := Limit{Rate: 20, Burst: 40, Window: window}
+	for _, test := range []struct {
+		name             string
+		earliest, latest time.Duration // delay of the refunds
+		moves            bool
+	}{
+		{"within the window", 0, 4 * time.Second, false},
+		{"some after the window", 3 * time.Second, 9 * time.Second, false},
+		{"all after the window", 6 * time.Second, 6500 * time.Millisecond, false},
+		{"moved account", 0, 9 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(1, 2))
+			start := time.Unix(1000, 0)
+			account := NewAccount(limit, DefaultPolicy, NewRouteProfiles(), start)
+			due := make(map[int][]Use) // by step
+			var ran []time.Duration
+			for number := range 6000 {
+				elapsed := time.Duration(number) * step
+				if test.moves && number == 400 {
+					account = NewAccount(limit, DefaultPolicy, NewRouteProfiles(), start.Add(elapsed))
+				}
+				response := account.Serve(AdmissionRequest{Limit: limit, Refunds: due[number]}, 1, start.Add(elapsed))
+				switch {
+				case !response.Admitted:
+				case number >= 400 && number/200%2 == 1:
+					ran = append(ran, elapsed+response.Delay)
+				default:
+					returned := number + 1 + int(test.earliest/step) + random.IntN(int((test.latest-test.earliest)/step))
+					due[returned] = append(due[returned], response.Use)
+				}
+			}
+			slices.Sort(ran)
+			worst := 0
+			for first, last := 0, 0; last < len(ran); last++ {
+				for ran[last]-ran[first] > window {
+					first++
+				}
+				worst = max(worst, last-first+1)
+			}
+			is.True(worst <= int(limit.capacity()))
+			is.True(worst >= int(0.4*limit.capacity()))
+		})
 	}
 }
 
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -80,7 +80,7 @@
 	Program         string        `msgpack:"p,omitempty"`
 	Route           string        `msgpack:"o,omitempty"`
 	Urgent          bool          `msgpack:"g,omitempty"` // the workspace or else the route has the highest priority
-	Refunded        int           `msgpack:"b,omitempty"` // earlier admitted requests of the workspace that have not run
+	Refunds         []Use         `msgpack:"u,omitempty"` // of earlier admitted requests of the workspace that have not run
 	ProgramTimeLeft time.Duration `msgpack:"e,omitempty"` // until the program's deadline
 }
 
@@ -92,4 +92,12 @@
 	// NotCoordinator reports that the responding host does not keep the
 	// workspace's account.
 	NotCoordinator bool `msgpack:"e,omitempty"`
+	Use            Use  `msgpack:"u"` // of the admitted request
+}
+
+// Use identifies where an account has recorded an admitted request, so that a refund is
+// recorded at the same place. The zero value identifies none.
+type Use struct {
+	Account uint64 `msgpack:"a,omitempty"`
+	Slot    int64  `msgpack:"s,omitempty"`
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -21,6 +21,7 @@
 }
 
 const (
+	maxRefunds          = 256         // in one request, and kept for one workspace
 	accountIdleTimeout  = time.Minute // after which the coordinator evicts an account
 	fallbackIdleTimeout = time.Second // after which a fallback account is evicted
 	// fallbackShare is the fraction of a single host's share of the limit that
@@ -36,7 +37,7 @@
 	metrics      *metric.Metrics
 
 	mutex    sync.Mutex
-	refunded map[string]int      // admitted requests that have not run, by workspace
+	refunds  map[string][]Use    // of admitted requests that have not run, by workspace
 	accounts map[string]*Account // of the workspaces that this host coordinates
 	fallback map[string]*Account // used while the coordinator is unreachable
 	profiles *RouteProfiles
@@ -45,44 +46,66 @@
 // NewLimiter returns a Limiter without accounts.
 func NewLimiter(coordinators Coordinators, clock clockwork.Clock, metrics *metric.Metrics) *Limiter {
 	return &Limiter{
-		coordinators: coordinators, clock: clock, metrics: metrics, refunded: make(map[string]int),
+		coordinators: coordinators, clock: clock, metrics: metrics, refunds: make(map[string][]Use),
 		accounts: make(map[string]*Account), fallback: make(map[string]*Account), profiles: NewRouteProfiles(),
 	}
 }
 
-// Admit blocks until an admitted request may run. For a refused request it
-// returns the time after which the caller may retry.
-func (limiter *Limiter) Admit(ctx context.Context, request AdmissionRequest) (bool, time.Duration) {
+// Admission is the decision on a request. Use is refunded if the admitted request does
+// not run.
+type Admission struct {
+	Admitted   bool
+	RetryAfter time.Duration // after which the caller may retry a refused request
+	Use        Use
+}
+
+// Admit decides on a request and blocks until it may run.
+func (limiter *Limiter) Admit(ctx context.Context, request AdmissionRequest) Admission {
 	if request.Limit.Rate <= 0 {
-		return true, 0
+		return Admission{Admitted: true}
 	}
-	request.Refunded = limiter.takeRefunded(request.Workspace)
+	request.Refunds = limiter.takeRefunds(request.Workspace)
 	response := limiter.decide(ctx, request)
 	if response.Delay > 0 {
 		limiter.metrics.ObserveLatency("rate_wait", response.Delay)
 		select {
 		case <-limiter.clock.After(response.Delay):
 		case <-ctx.Done():
-			return false, minRetryAfter
+			limiter.Refund(request.Workspace, response.Use)
+			return Admission{RetryAfter: minRetryAfter}
 		}
 	}
-	return response.Admitted, response.RetryAfter
+	return Admission{Admitted: response.Admitted, RetryAfter: response.RetryAfter, Use: response.Use}
 }
 
-// Refund returns the quota of an admitted request that has not run. The refund
-// reaches the account with the next admission request of the workspace.
-func (limiter *Limiter) Refund(workspace string) {
+// Refund returns the quota of an admitted request that has not run. If another host
+// keeps the account, the refund reaches it with the next admission request of the
+// workspace.
+func (limiter *Limiter) Refund(workspace string, use Use) {
+	if use.Account == 0 {
+		return
+	}
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	limiter.refunded[workspace]++
+	for _, accounts := range []map[string]*Account{limiter.accounts, limiter.fallback} {
+		if account, ok := accounts[workspace]; ok && account.id == use.Account {
+			account.refund(use)
+			return
+		}
+	}
+	if kept := limiter.refunds[workspace]; len(kept) < maxRefunds {
+		limiter.refunds[workspace] = append(kept, use)
+		return
+	}
+	limiter.metrics.Count("quota_refunds_dropped")
 }
 
-func (limiter *Limiter) takeRefunded(workspace string) int {
+func (limiter *Limiter) takeRefunds(workspace string) []Use {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	count := limiter.refunded[workspace]
-	delete(limiter.refunded, workspace)
-	return count
+	refunds := limiter.refunds[workspace]
+	delete(limiter.refunds, workspace)
+	return refunds
 }
 
 // decide obtains a decision from the coordinator, or from a fallback account on
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -93,10 +93,23 @@
 	return window.granted + extra*window.shareSum/float64(window.slots) - window.used
 }
 
-// record counts usage that happens after a delay. A negative count refunds usage.
-func (window *window) record(count float64, delay time.Duration) {
-	window.uses[window.index(window.current+int64(min(delay, maxAhead)/slotDuration))] += count
+// record counts usage that happens after a delay, and returns its slot.
+func (window *window) record(count float64, delay time.Duration) int64 {
+	slot := window.current + int64(min(delay, maxAhead)/slotDuration)
+	window.uses[window.index(slot)] += count
 	window.used += count
+	return slot
+}
+
+// remove removes one use from a slot. It returns false if the slot has left the window
+// or has no use.
+func (window *window) remove(slot int64) bool {
+	if slot <= window.current-window.slots || slot > window.current+int64(maxAhead/slotDuration) || window.uses[window.index(slot)] < 1 {
+		return false
+	}
+	window.uses[window.index(slot)]--
+	window.used--
+	return true
 }
 
 // freedWithin returns the quota that becomes available within a period.
