Continue streams at their version after all hosts have restarted

By reading and by test, the fault itself was possible: "nobody knows" was decided by a window of three timeouts of the route, and a caller may wait longer. With a timeout of 300 ms, hosts that had run for a second took the version of the new targets for that of the stream (TestStreamOutlivesTimeout: 200 instead of 503 with the window as before).

A host that cannot ask anybody reads the newest part of the store's log of target entries once. The records carry no time, so the reports that a target has counted show whether they cover the window; if not, the stream is refused as before. The window covers callers that wait longer than the route's timeout (10 s or more). A host whose view of the targets is older than 2 s, by the time of day, reads it again before it continues a stream, and does not answer other hosts' questions for the versions from it.

TestStreamStaysAtItsVersion: the case "all hosts have restarted" expected refusals and now expects every stream to go on; new: the version has left meanwhile. TestStreamAfterRestartOfAllHosts: one version (before: refused), versions that come and leave while no host runs, a log that was trimmed. TestStreamOfUnknownOrigin waits for the longer window.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -71,6 +71,8 @@
 	Begin(record origin.Record)
 	// Resolve returns where a stream began, and an error if that is not certain.
 	Resolve(ctx context.Context, query origin.Query) (origin.Origin, error)
+	// Refresh reads the targets' entries again if the last read is not recent.
+	Refresh(ctx context.Context) bool
 }
 
 // Handler is the HTTP handler for callers' requests.
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -11,18 +11,23 @@
 	"github.com/godwitspread/godwitspread/internal/placement"
 )
 
-// lifetimeAttempts is the number of attempts, each within the timeout of the route,
-// after which no caller resumes a stream any more.
-const lifetimeAttempts = 3
+const (
+	// lifetimeAttempts is the number of attempts, each within the timeout of the route
+	// or of its caller, after which no caller resumes a stream any more.
+	lifetimeAttempts = 3
+	// minStreamLifetime covers callers that wait for longer than the route's timeout,
+	// also while all hosts are away.
+	minStreamLifetime = 10 * time.Second
+)
 
 // streamLifetime returns the longest time from the beginning of a stream in which it
 // may be resumed.
 func (exchange *exchange) streamLifetime() time.Duration {
-	timeout := defaultTimeout
-	if exchange.route.Timeout > 0 {
-		timeout = exchange.route.Timeout
+	timeout := exchange.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
 	}
-	return lifetimeAttempts * timeout
+	return max(minStreamLifetime, lifetimeAttempts*max(timeout, exchange.request.TimeLeft))
 }
 
 // originKey returns the key of the stream that the request begins or resumes.
@@ -67,7 +72,8 @@
 // certainVersion reports whether the target that began a stream still has the
 // version that the host knew then. A target that restarted under its ID with another
 // one may have done so before the stream began.
-func (exchange *exchange) certainVersion(began placement.Target) bool {
+func (exchange *exchange) certainVersion(ctx context.Context, began placement.Target) bool {
+	exchange.handler.origins.Refresh(ctx)
 	version, known := exchange.handler.registry.Version(began.ID)
 	return !known || version == began.Version
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -57,7 +57,7 @@
 		}
 	}()
 	for len(exchange.triedTargets) < maxTargets {
-		if relay.headSent && !exchange.certainVersion(relay.began) {
+		if relay.headSent && !exchange.certainVersion(ctx, relay.began) {
 			return relay.fail(newRejection(http.StatusBadGateway, "stream_origin_unknown"))
 		}
 		target, found, rejection := exchange.acquireTarget(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,9 @@
 		Store: gateway.store, Clock: clock, Logger: logger, Topic: platform.TargetTopic,
 		ReadInterval: max(minTargetReadInterval, settings.Bounds.Drain/targetReadsPerDrain), Apply: gateway.targetTracker.apply,
 	}
-	gateway.origins = origin.NewResolver(gateway.targetTracker.versions, targetView{gateway.registry, gateway.entries}, gateway.mesh, clock, gateway.metrics)
+	entryLog := &targetLog{store: gateway.store, heartbeat: settings.Heartbeat, logger: logger}
+	archive := origin.NewArchive(gateway.store, gateway.writer, gateway.expirer, clock, logger, partitions)
+	gateway.origins = origin.NewResolver(gateway.targetTracker.versions, targetView{gateway.registry, gateway.entries, entryLog}, gateway.mesh, archive, clock, gateway.metrics)
 	gateway.transport = peer.NewTransport(settings.Host, gateway.self.Incarnation, settings.PeerSecret, clock, logger, gateway.mesh.Handler(mesh.Operations{
 		Store: gateway.directStore, Chain: gateway.histories.CachedChain, Push: gateway.histories.CacheTurns,
 		Release: gateway.allocator.Release, Reserve: gateway.reserver.HandleReserve, Settle: gateway.reserver.HandleSettle, DecideAdmission: gateway.limiter.Serve, ProgramStarted: gateway.reserver.Started,
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -11,6 +11,7 @@
 	"github.com/godwitspread/godwitspread/internal/codec"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/mesh"
+	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/store"
@@ -102,14 +103,14 @@
 	return limits
 }
 
-// sweepExpired deletes expired records of budgets and turns from the store.
+// sweepExpired deletes expired records of budgets, turns and streams from the store.
 // The coordinator of a partition's name sweeps the partition, so that the other
 // hosts do not repeat its work.
 func (gateway *Gateway) sweepExpired() {
 	topics := []struct {
 		name    string
 		expired func([]store.Record, time.Time) []string
-	}{{budget.Topic, budget.ExpiredKeys}, {history.Topic, history.ExpiredKeys}}
+	}{{budget.Topic, budget.ExpiredKeys}, {history.Topic, history.ExpiredKeys}, {origin.Topic, origin.ExpiredKeys}}
 	for _, topic := range topics {
 		for partition := range gateway.settings.Store.Partitions {
 			if _, self := gateway.mesh.Coordinator(fmt.Sprintf("%s/%d", topic.name, partition)); !self {
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -72,7 +72,7 @@
 		name    string
 		between func(fleet *fleet) // after the first attempts, at host 0
 		back    []int              // hosts that the callers come back to; default all but host 0
-		unknown bool               // nobody can know the version any more, so the streams are refused
+		gone    string             // version whose streams can't go on, so that they are refused
 	}{
 		{name: "other hosts", between: func(*fleet) {}},
 		{name: "the host that began the streams is killed", between: func(fleet *fleet) { fleet.hosts[0].kill() }},
@@ -117,7 +117,21 @@
 				fleet.startHost(host)
 			}
 			fleet.awaitReady()
-		}, unknown: true},
+		}},
+		{name: "all hosts have restarted, and the version that began the streams has left", between: func(fleet *fleet) {
+			for _, host := range fleet.hosts {
+				host.kill()
+			}
+			for _, engine := range fleet.engines {
+				if engine.Version == "v1" {
+					fleet.store.Put("keyed.servers", engine.ID, nil)
+				}
+			}
+			for _, host := range fleet.hosts {
+				fleet.startHost(host)
+			}
+			fleet.awaitReady()
+		}, gone: "v1"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -135,9 +149,12 @@
 			if test.back == nil {
 				test.back = []int{1, 2, 3}
 			}
-			served := 0
+			served, expected := 0, 0
 			for number, first := range cut {
 				second := fleet.hosts[test.back[number%len(test.back)]].resume(first)
+				if !fleet.versionsOf(first.attempt)[test.gone] {
+					expected++
+				}
 				is.Equal(len(fleet.versionsOf(first.attempt, second.attempt)), 1) // over the attempts
 				if second.status == 200 {
 					is.True(second.complete)
@@ -148,11 +165,8 @@
 				is.Equal(len(fleet.runsOf(second.attempt)), 0)
 				is.True(second.duration < time.Second) // refused at once
 			}
-			if test.unknown {
-				is.Equal(served, 0)
-			} else {
-				is.Equal(served, streamsPerCase)
-			}
+			is.Equal(served, expected)
+			is.True(test.gone != "" || expected == streamsPerCase)
 		})
 	}
 }
@@ -168,7 +182,9 @@
 	resume := func(host int) testResponse {
 		return fleet.hosts[host].send(testRequest{path: "/brief/a", key: key, limit: 300 * time.Millisecond, header: map[string]string{"Last-Event-Id": "2"}})
 	}
-	fleet.eventually(5*time.Second, "a stream of the only version goes on", func() bool { return resume(0).status == 200 })
+	// No caller that waits longer than the route's timeout resumes a stream after this time.
+	const lifetime = 10 * time.Second
+	fleet.eventually(lifetime+5*time.Second, "a stream of the only version goes on", func() bool { return resume(0).status == 200 })
 	fleet.hosts[2].kill()
 	fleet.startHost(fleet.hosts[2])
 	fleet.awaitReady()
@@ -181,7 +197,97 @@
 		is.Equal(len(fleet.runsOf(refused.attempt)), 0)
 	}
 	fleet.store.Put("keyed.servers", "e-3", nil)
-	fleet.eventually(5*time.Second, "a stream goes on when only one version is left", func() bool { return resume(1).status == 200 })
+	fleet.eventually(lifetime+5*time.Second, "a stream goes on when only one version is left", func() bool { return resume(1).status == 200 })
+}
+
+// TestStreamAfterRestartOfAllHosts guards against refusing to continue streams after all
+// hosts have restarted although their service has had one version all along, and against
+// continuing them at a version that came while no host ran: the store's log tells, unless
+// it was trimmed.
+func TestStreamAfterRestartOfAllHosts(t *testing.T) {
+	tests := []struct {
+		name    string
+		between func(fleet *fleet) // while no host runs
+		status  int
+	}{
+		{"one version", func(*fleet) {}, 200},
+		{"another version has come and left", func(fleet *fleet) {
+			fleet.addEngine("e-3", "v2")
+			fleet.store.Put("keyed.servers", "e-3", nil)
+		}, 503},
+		{"all targets were replaced", func(fleet *fleet) {
+			fleet.addEngine("e-3", "v2")
+			for _, engine := range fleet.engines[:3] {
+				fleet.store.Put("keyed.servers", engine.ID, nil)
+			}
+		}, 503},
+		{"the store has forgotten its log", func(fleet *fleet) { fleet.store.TrimRecords() }, 503},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			fleet := newFleet(t, 3)
+			for _, host := range fleet.hosts {
+				host.settings.Heartbeat = 500 * time.Millisecond
+			}
+			for number := range 40 { // the reports of 20 seconds
+				for _, engine := range fleet.engines {
+					fleet.store.Put("keyed.servers", engine.ID, engine.Report("ready", number+1))
+				}
+			}
+			for _, engine := range fleet.engines {
+				engine.SetBehaviour(func(standin.Run) standin.Behaviour { return standin.Truncate })
+			}
+			first := fleet.hosts[0].send(testRequest{path: "/summary/a", key: key})
+			is.True(first.status == 200 && !first.complete)
+			for _, host := range fleet.hosts {
+				host.kill()
+			}
+			test.between(fleet)
+			for _, engine := range fleet.engines {
+				engine.SetBehaviour(nil)
+			}
+			for _, host := range fleet.hosts {
+				fleet.startHost(host)
+			}
+			fleet.awaitReady()
+			second := fleet.hosts[1].resume(first)
+			is.Equal(second.status, test.status)
+			is.Equal(len(fleet.versionsOf(first.attempt, second.attempt)), 1)
+		})
+	}
+}
+
+// TestStreamOutlivesTimeout guards against taking the version of today for that of a
+// stream whose caller waits longer than the route's timeout: all hosts were away and all
+// targets were replaced meanwhile, and the new hosts have run for a few timeouts.
+func TestStreamOutlivesTimeout(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	fleet.config["routes"] = append(fleet.config["routes"].([]map[string]any), route("brief", "/brief/", "streaming", "engines", map[string]any{"resumable": true, "timeoutMs": 300}))
+	fleet.publish()
+	fleet.awaitReady()
+	for _, engine := range fleet.engines {
+		engine.SetBehaviour(func(standin.Run) standin.Behaviour { return standin.Truncate })
+	}
+	first := fleet.hosts[0].send(testRequest{path: "/brief/a", key: key})
+	is.True(first.status == 200 && !first.complete)
+	for _, host := range fleet.hosts {
+		host.kill()
+	}
+	fleet.addEngine("e-3", "v2")
+	for _, engine := range fleet.engines[:3] {
+		fleet.store.Put("keyed.servers", engine.ID, nil)
+	}
+	for _, host := range fleet.hosts {
+		fleet.startHost(host)
+	}
+	fleet.awaitReady()
+	time.Sleep(1200 * time.Millisecond)
+	second := fleet.hosts[1].send(testRequest{path: "/brief/a", key: key, header: map[string]string{"Last-Event-Id": "4", "Resumes": first.attempt}})
+	is.Equal(second.status, 503)
+	is.Equal(len(fleet.runsOf(second.attempt)), 0)
 }
 
 // TestTargetChangesItsVersion guards against continuing a stream at the version that
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -109,4 +109,5 @@
 type targetView struct {
 	*placement.Registry
 	*store.Follower
+	*targetLog
 }
--- a/internal/origin/resolver.go
+++ b/internal/origin/resolver.go
@@ -37,6 +37,21 @@
 	Version(target string) (string, bool)
 	// Confirm waits until the entries of the targets have been read again.
 	Confirm(ctx context.Context) error
+	// ConfirmedAt returns the time of day at which the entries were last known to be
+	// complete.
+	ConfirmedAt() time.Time
+	// RecentVersions returns the versions that a service has had in a window of time
+	// before the start of this host, as the store's log shows. It returns false if the
+	// log may not cover the window.
+	RecentVersions(ctx context.Context, service string, window time.Duration) ([]string, bool)
+}
+
+// Store keeps origins where they outlive all hosts.
+type Store interface {
+	// Save stores a record without waiting.
+	Save(record Record)
+	// Find returns the origin of a stream, if it was stored.
+	Find(ctx context.Context, key Key) (Origin, bool)
 }
 
 // VersionsRequest asks for the software versions of a service in a window of time.
@@ -64,22 +79,33 @@
 	versions  *VersionHistory
 	targets   Targets
 	peers     Peers
+	archive   Store
 	clock     clockwork.Clock
 	metrics   *metric.Metrics
 }
 
 // NewResolver returns a resolver without records.
-func NewResolver(versions *VersionHistory, targets Targets, peers Peers, clock clockwork.Clock, metrics *metric.Metrics) *Resolver {
-	return &Resolver{directory: newDirectory(), versions: versions, targets: targets, peers: peers, clock: clock, metrics: metrics}
+func NewResolver(versions *VersionHistory, targets Targets, peers Peers, archive Store, clock clockwork.Clock, metrics *metric.Metrics) *Resolver {
+	return &Resolver{directory: newDirectory(), versions: versions, targets: targets, peers: peers, archive: archive, clock: clock, metrics: metrics}
 }
 
 // Begin records a stream, on this host and on others. The caller must not receive
-// an event of the stream before.
+// an event of the stream before. Only while the service has several versions is the
+// record stored as well: otherwise hosts that have all restarted infer it.
 func (resolver *Resolver) Begin(record Record) {
 	resolver.Store(record)
 	resolver.peers.PushOrigin(record)
+	if versions, _ := resolver.versions.Versions(record.Origin.Service, min(archiveLifetimes*record.TTL, maxTTL), resolver.clock.Now()); len(versions) > 1 {
+		resolver.archive.Save(record)
+		resolver.metrics.Count("stream_origins_stored")
+	}
 }
 
+// archiveLifetimes is for how many lifetimes of a stream after the last sign of a second
+// version origins are stored: a host that starts at the end of a stream's lifetime sees
+// the versions of one more in the store's log.
+const archiveLifetimes = 3
+
 // Store records a stream on this host.
 func (resolver *Resolver) Store(record Record) { resolver.directory.put(record, resolver.clock.Now()) }
 
@@ -88,18 +114,47 @@
 	return resolver.directory.find(key, resolver.clock.Now())
 }
 
-// Versions answers another host's question for the versions of a service.
+// Versions answers another host's question for the versions of a service. A host that
+// has not read the targets' entries recently does not know.
 func (resolver *Resolver) Versions(request VersionsRequest) VersionsResponse {
 	versions, complete := resolver.versions.Versions(request.Service, request.Window, resolver.clock.Now())
-	if !complete {
+	if !complete || resolver.viewAge() > maxViewAge {
 		return VersionsResponse{}
 	}
 	return VersionsResponse{Complete: true, Versions: versions}
 }
 
+// maxViewAge is the longest time since the last read of the targets' entries after which
+// this host's view of the versions counts as current: a target does not start, serve and
+// leave in less.
+const maxViewAge = 2 * time.Second
+
+// viewAge returns the time since the last read of the targets' entries. It uses the time
+// of day, because the monotonic clock stands still while the host is suspended.
+func (resolver *Resolver) viewAge() time.Duration {
+	return resolver.clock.Now().Round(0).Sub(resolver.targets.ConfirmedAt())
+}
+
+// Refresh reads the targets' entries again if that was not done recently, as after a
+// standstill of this host. It reports whether the view is current.
+func (resolver *Resolver) Refresh(ctx context.Context) bool {
+	if age := resolver.viewAge(); age >= 0 && age <= maxViewAge {
+		return true
+	}
+	resolver.metrics.Count("target_views_refreshed")
+	return resolver.confirm(ctx)
+}
+
+func (resolver *Resolver) confirm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return resolver.targets.Confirm(ctx) == nil
+}
+
 // Resolve returns where a stream began. It returns ErrUnknown unless this is
 // certain.
 func (resolver *Resolver) Resolve(ctx context.Context, query Query) (Origin, error) {
+	resolver.Refresh(ctx)
 	if query.Key.Attempt != "" {
 		origin, found := resolver.Lookup(query.Key)
 		if !found {
@@ -109,7 +164,15 @@
 			return resolver.checked(origin)
 		}
 	}
-	return resolver.onlyVersion(ctx, query)
+	if origin, err := resolver.onlyVersion(ctx, query); err == nil || query.Key.Attempt == "" {
+		return origin, err
+	}
+	origin, found := resolver.archive.Find(ctx, query.Key)
+	if !found {
+		return Origin{}, ErrUnknown
+	}
+	resolver.metrics.Count("stream_origins_restored")
+	return resolver.checked(origin)
 }
 
 // checked returns the origin unless its target has changed its version since: a
@@ -129,9 +192,7 @@
 		return Origin{}, ErrUnknown
 	}
 	// The stream may have begun at a target whose entry this host has not read yet.
-	confirmCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	if err := resolver.targets.Confirm(confirmCtx); err != nil {
+	if !resolver.confirm(ctx) {
 		return Origin{}, ErrUnknown
 	}
 	service := query.Services[0]
@@ -139,6 +200,9 @@
 	if !complete && len(versions) == 1 {
 		var others []string
 		others, complete = resolver.peers.FindVersions(ctx, VersionsRequest{Service: service, Window: query.Lifetime})
+		if !complete {
+			others, complete = resolver.targets.RecentVersions(ctx, service, query.Lifetime)
+		}
 		for _, version := range others {
 			if !slices.Contains(versions, version) {
 				versions = append(versions, version)
--- a/internal/origin/resolver_test.go
+++ b/internal/origin/resolver_test.go
@@ -34,7 +34,27 @@
 // fakeTargets are the targets, by ID, as this host knows them.
 type fakeTargets struct {
 	versions  map[string]string
+	renewed   map[string]string // versions that the next read of the entries finds
+	recent    []string          // versions in the store's log; nil if it does not cover the window
 	storeLost bool
+	readAt    time.Time
+	reads     int
+}
+
+func (targets *fakeTargets) ConfirmedAt() time.Time { return targets.readAt }
+
+func (targets *fakeTargets) RecentVersions(context.Context, string, time.Duration) ([]string, bool) {
+	return targets.recent, targets.recent != nil
+}
+
+// fakeArchive is the store of origins.
+type fakeArchive map[Key]Origin
+
+func (archive fakeArchive) Save(record Record) { archive[record.Key] = record.Origin }
+
+func (archive fakeArchive) Find(_ context.Context, key Key) (Origin, bool) {
+	found, ok := archive[key]
+	return found, ok
 }
 
 func (targets *fakeTargets) Version(target string) (string, bool) {
@@ -46,6 +66,10 @@
 	if targets.storeLost {
 		return context.DeadlineExceeded
 	}
+	targets.reads++
+	if targets.renewed != nil {
+		targets.versions = targets.renewed
+	}
 	return nil
 }
 
@@ -64,6 +88,7 @@
 		services  []string      // default: engines
 		following time.Duration // how long this host knows all targets
 		observed  []string      // versions that it has seen
+		archived  bool          // the origin is in the store
 		version   string        // expected; empty if the origin is unknown
 	}{
 		{name: "began on this host", local: true, attempt: "first", observed: []string{"v1", "v2"}, version: "v1"},
@@ -79,6 +104,12 @@
 		{name: "this host has just started", attempt: "first", following: time.Second, observed: []string{"v1"}},
 		{name: "another host knows that there was one version", peers: &fakePeers{versions: []string{"v1"}}, attempt: "first", following: time.Second, observed: []string{"v1"}, version: "v1"},
 		{name: "another host knows a version that has left", peers: &fakePeers{versions: []string{"v1", "v2"}}, attempt: "first", following: time.Second, observed: []string{"v1"}},
+		{name: "all hosts have just started, one version", targets: &fakeTargets{recent: []string{"v1"}}, attempt: "first", following: time.Second, observed: []string{"v1"}, version: "v1"},
+		{name: "all hosts have just started, another version has left", targets: &fakeTargets{recent: []string{"v1", "v2"}}, attempt: "first", following: time.Second, observed: []string{"v2"}},
+		{name: "all hosts have just started, the origin is stored", targets: &fakeTargets{recent: []string{"v1", "v2"}}, archived: true, attempt: "first", following: time.Second, observed: []string{"v2"}, version: "v1"},
+		{name: "the origin is stored, two versions", archived: true, attempt: "first", following: time.Minute, observed: []string{"v1", "v2"}, version: "v1"},
+		{name: "the origin is stored, its target has restarted with another version", archived: true, targets: &fakeTargets{versions: map[string]string{"e-1": "v2"}}, attempt: "first", observed: []string{"v1", "v2"}},
+		{name: "the view is old, the target has restarted with another version", local: true, targets: &fakeTargets{versions: map[string]string{"e-1": "v1"}, renewed: map[string]string{"e-1": "v2"}, readAt: time.Unix(1, 0)}, attempt: "first"},
 		{name: "the entries may be old", targets: &fakeTargets{storeLost: true}, attempt: "first", following: time.Minute, observed: []string{"v1"}},
 		{name: "the route has two services", services: []string{"engines", "tools"}, attempt: "first", following: time.Minute, observed: []string{"v1"}},
 	}
@@ -91,6 +122,13 @@
 		if test.targets == nil {
 			test.targets = &fakeTargets{}
 		}
+		if test.targets.readAt.IsZero() {
+			test.targets.readAt = clock.Now().Add(test.following)
+		}
+		archive := fakeArchive{}
+		if test.archived {
+			archive[key] = began
+		}
 		if test.services == nil {
 			test.services = []string{"engines"}
 		}
@@ -100,7 +138,7 @@
 		for _, version := range test.observed {
 			history.Observe("engines", version, clock.Now())
 		}
-		resolver := NewResolver(history, test.targets, test.peers, clock, metric.Discard())
+		resolver := NewResolver(history, test.targets, test.peers, archive, clock, metric.Discard())
 		if test.local {
 			resolver.Begin(Record{Key: key, Origin: began, TTL: lifetime})
 			is.Equal(len(test.peers.pushed), 1) // test.name
@@ -111,6 +149,57 @@
 	}
 }
 
+// TestStoredOrigins guards against losing the origins of streams with all hosts while a
+// service has several versions, and against paying for them otherwise.
+func TestStoredOrigins(t *testing.T) {
+	const lifetime = 9 * time.Second
+	tests := []struct {
+		name   string
+		since  time.Duration // since the other version was seen last
+		stored bool
+	}{
+		{"two versions", 0, true},
+		{"the other one has just left", lifetime, true},
+		{"one version", 4 * lifetime, false},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		clock := clockwork.NewFakeClock()
+		history := NewVersionHistory()
+		history.Restart(clock.Now())
+		history.Observe("engines", "v1", clock.Now())
+		clock.Advance(test.since)
+		history.Observe("engines", "v2", clock.Now())
+		archive := fakeArchive{}
+		resolver := NewResolver(history, &fakeTargets{}, &fakePeers{}, archive, clock, metric.Discard())
+		resolver.Begin(Record{Key: Key{Attempt: "first"}, Origin: Origin{Service: "engines", Version: "v2"}, TTL: lifetime})
+		is.Equal(len(archive) == 1, test.stored) // test.name
+	}
+}
+
+// TestOldViewIsNoAnswer guards against a host that has been cut off or suspended telling
+// others that a service has one version: others may have joined meanwhile.
+func TestOldViewIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	history := NewVersionHistory()
+	history.Restart(clock.Now())
+	clock.Advance(time.Minute)
+	history.Observe("engines", "v1", clock.Now())
+	targets := &fakeTargets{readAt: clock.Now()}
+	resolver := NewResolver(history, targets, &fakePeers{}, fakeArchive{}, clock, metric.Discard())
+	request := VersionsRequest{Service: "engines", Window: 9 * time.Second}
+	is.Equal(resolver.Versions(request), VersionsResponse{Complete: true, Versions: []string{"v1"}})
+	is.True(resolver.Refresh(context.Background()))
+	is.Equal(targets.reads, 0)
+	clock.Advance(maxViewAge + time.Millisecond)
+	is.Equal(resolver.Versions(request), VersionsResponse{})
+	is.True(resolver.Refresh(context.Background()))
+	is.Equal(targets.reads, 1)
+	targets.storeLost = true
+	is.True(!resolver.Refresh(context.Background()))
+}
+
 // TestVersionHistory checks that a version counts until a window after it was last
 // seen, and that a history with a gap is not complete.
 func TestVersionHistory(t *testing.T) {
