Use the other records when one of a topic cannot be decoded

Reported by operators of a similar system: one odd entry among those of the targets (nested deeply, a number too large, a port out of range) ended the machines that read the list, or stopped them from following it.

What happens here: a JSON entry of a target did neither, but its numbers were taken as they came: slots of 9e18 overflow the sums of the load check, durations overflow differently on arm64 and x86-64, and an ID with a line break would have gone into a header. In other topics one record decided about all: an entry of a budget that cannot be decoded made its whole partition unreadable (503 for every program of it, at all hosts, for good), a record over 8 MB made a page unreadable, and a key that is not UTF-8 made a listing repeat its page without end.

Entries of budgets that cannot be decoded, or whose numbers are beyond any budget, are skipped by all hosts alike (budget_entries_unreadable). Listings continue after keys that are not UTF-8.

--- a/internal/budget/entrylog.go
+++ b/internal/budget/entrylog.go
@@ -7,10 +7,12 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/godwitspread/godwitspread/internal/codec"
+	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
 
@@ -31,6 +33,8 @@
 	store      store.Store
 	writer     *store.Writer
 	clock      clockwork.Clock
+	logger     log.Interface
+	metrics    *metric.Metrics
 	holder     string
 	partitions []*partition
 	// credit is called once for each entry of this host when it is read back,
@@ -44,7 +48,7 @@
 
 func newEntryLog(dependencies Dependencies, credit func(program string, granted int)) *entryLog {
 	entryLog := &entryLog{
-		store: dependencies.Store, writer: dependencies.Writer, clock: dependencies.Clock, holder: dependencies.Holder, credit: credit,
+		store: dependencies.Store, writer: dependencies.Writer, clock: dependencies.Clock, logger: dependencies.Logger, metrics: dependencies.Metrics, holder: dependencies.Holder, credit: credit,
 		pending: make(map[int64]bool),
 	}
 	for range dependencies.Partitions {
@@ -132,9 +136,7 @@
 	if partition.next != record.Offset {
 		return false
 	}
-	if err := partition.ledger.fold([]store.Record{record}, record.Offset+1, entryLog.creditOwnEntry); err != nil {
-		return false // reading it back reports the error
-	}
+	partition.ledger.fold([]store.Record{record}, record.Offset+1, entryLog.creditOwnEntry, entryLog.skip)
 	partition.next = record.Offset + 1
 	return true
 }
@@ -174,7 +176,14 @@
 	if page.Next >= page.End {
 		partition.readAt = start
 	}
-	return partition.ledger.fold(page.Records, page.Next, entryLog.creditOwnEntry)
+	partition.ledger.fold(page.Records, page.Next, entryLog.creditOwnEntry, entryLog.skip)
+	return nil
+}
+
+// skip records an entry that cannot be decoded.
+func (entryLog *entryLog) skip(record store.Record, err error) {
+	entryLog.metrics.Count("budget_entries_unreadable")
+	entryLog.logger.WithError(err).WithFields(log.Fields{"key": record.Key, "offset": record.Offset}).Warn("entry of a budget cannot be decoded; skipping it")
 }
 
 // reload replaces the ledger of a partition by one of the newest record of each
@@ -186,9 +195,7 @@
 		return err
 	}
 	fresh := newLedger()
-	if err := fresh.fold(records, end, entryLog.creditOwnEntry); err != nil {
-		return err
-	}
+	fresh.fold(records, end, entryLog.creditOwnEntry, entryLog.skip)
 	partition.ledger, partition.next, partition.readAt = fresh, end, start
 	return nil
 }
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -63,8 +63,9 @@
 
 // fold applies listed records and calls visit with each entry and the tokens
 // that it allocates. It skips records at or after the end offset, because
-// reading continues there.
-func (ledger *ledger) fold(records []store.Record, end int64, visit func(entry, int)) error {
+// reading continues there, and calls skipped with those that are no entries: every host
+// skips the same ones.
+func (ledger *ledger) fold(records []store.Record, end int64, visit func(entry, int), skipped func(store.Record, error)) {
 	sort.Slice(records, func(a, b int) bool { return records[a].Offset < records[b].Offset })
 	for _, record := range records {
 		if record.Offset >= end || record.IsTombstone() {
@@ -72,13 +73,20 @@
 		}
 		var decoded entry
 		if err := codec.Unmarshal(record.Value, &decoded); err != nil {
-			return fmt.Errorf("decode taking at offset %d: %w", record.Offset, err)
+			skipped(record, err)
+			continue
+		}
+		if decoded.Budget < 0 || decoded.Budget > maxBudget || decoded.Tokens < -maxBudget || decoded.Tokens > maxBudget {
+			skipped(record, fmt.Errorf("entry allocates %d tokens of a budget of %d", decoded.Tokens, decoded.Budget))
+			continue
 		}
 		visit(decoded, ledger.apply(decoded))
 	}
-	return nil
 }
 
+// maxBudget bounds the numbers of an entry, so that sums of them do not overflow.
+const maxBudget = 1 << 50
+
 // allocated returns the tokens of a budget that all hosts have allocated,
 // whether spent or not.
 func (ledger *ledger) allocated(program string) int {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,7 +131,7 @@
 		MemoryBytes: int(historyShare * float64(settings.MemoryBytes)), Reachable: gateway.store.Reachable,
 		StoreLimits: history.StoreLimits{RecordBytes: settings.Store.MaxRecordBytes, AppendBytes: settings.Store.MaxAppendBytes},
 	})
-	gateway.targetTracker = newTargetTracker(clock, logger, gateway.registry, gateway.store.HealthySince)
+	gateway.targetTracker = newTargetTracker(clock, logger, gateway.metrics, gateway.registry, gateway.store.HealthySince)
 	gateway.entries = &store.Follower{
 		Store: gateway.store, Clock: clock, Logger: logger, Topic: platform.TargetTopic,
 		ReadInterval: max(minTargetReadInterval, settings.Bounds.Drain/targetReadsPerDrain), Apply: gateway.targetTracker.apply,
--- a/internal/gateway/target_log.go
+++ b/internal/gateway/target_log.go
@@ -87,33 +87,37 @@
 }
 
 // versionsWithin returns the versions of each service in a window of time up to the last
-// record. It returns false if no target has counted enough reports in the records to
-// show that they cover the window.
+// record. It returns false if no target has made enough reports in the records to
+// show that they cover the window. A report that could not be written makes the window
+// longer, never shorter.
 func versionsWithin(records []store.Record, window, heartbeat time.Duration) (map[string][]string, bool) {
 	type boot struct {
 		id          string
 		startMillis int64
 	}
-	type report struct {
-		number int64
-		at     int // position of the record
+	type reports struct {
+		last      int64 // highest number
+		positions []int // of the records with increasing numbers
 	}
-	reports := make(map[boot][]report)
+	boots := make(map[boot]*reports)
 	for position, record := range records {
-		if number, start, err := platform.TargetReport(record.Value); err == nil && start > 0 {
-			key := boot{record.Key, start}
-			reports[key] = append(reports[key], report{number, position})
+		number, start, err := platform.TargetReport(record.Value)
+		if err != nil || start <= 0 {
+			continue
+		}
+		key := boot{record.Key, start}
+		if boots[key] == nil {
+			boots[key] = &reports{last: number - 1}
+		}
+		if counted := boots[key]; number > counted.last {
+			counted.last, counted.positions = number, append(counted.positions, position)
 		}
 	}
-	needed := int64(heartbeatMargin*float64(window)/float64(max(heartbeat, time.Millisecond))) + 1
+	needed := int(heartbeatMargin*float64(window)/float64(max(heartbeat, time.Millisecond))) + 1
 	first, complete := len(records), false
-	for _, counted := range reports {
-		last := counted[len(counted)-1].number
-		for _, earlier := range slices.Backward(counted) {
-			if last-earlier.number >= needed {
-				first, complete = min(first, earlier.at), true
-				break
-			}
+	for _, counted := range boots {
+		if earlier := len(counted.positions) - 1 - needed; earlier >= 0 {
+			first, complete = min(first, counted.positions[earlier]), true
 		}
 	}
 	if !complete {
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/store"
@@ -23,13 +24,18 @@
 	logger       log.Interface
 	registry     *placement.Registry
 	healthySince func() (time.Time, bool) // start of the period in which the store has responded to every call; false while calls fail
-	missing      map[string]bool          // IDs of the targets without an entry
+	missing      map[string]bool          // IDs of the targets without an entry that names one
+	unreadable   map[string]bool          // keys of entries that cannot be decoded
+	metrics      *metric.Metrics
 	versions     *origin.VersionHistory
 	lastApplied  time.Time
 }
 
-func newTargetTracker(clock clockwork.Clock, logger log.Interface, registry *placement.Registry, healthySince func() (time.Time, bool)) *targetTracker {
-	return &targetTracker{clock: clock, logger: logger, registry: registry, healthySince: healthySince, missing: make(map[string]bool), versions: origin.NewVersionHistory()}
+func newTargetTracker(clock clockwork.Clock, logger log.Interface, metrics *metric.Metrics, registry *placement.Registry, healthySince func() (time.Time, bool)) *targetTracker {
+	return &targetTracker{
+		clock: clock, logger: logger, metrics: metrics, registry: registry, healthySince: healthySince,
+		missing: make(map[string]bool), unreadable: make(map[string]bool), versions: origin.NewVersionHistory(),
+	}
 }
 
 // maxListingGap is the longest time between two listings of the entries in which no
@@ -67,12 +73,14 @@
 			targetTracker.missing[record.Key] = true
 			continue
 		}
-		present[record.Key] = true
 		target, err := platform.DecodeTarget(record.Key, record.Value)
 		if err != nil {
-			targetTracker.logger.WithError(err).Debug("entry of a target cannot be decoded")
+			targetTracker.recordUnreadable(record.Key, err)
+			targetTracker.missing[record.Key] = true
 			continue
 		}
+		present[record.Key] = true
+		delete(targetTracker.unreadable, record.Key)
 		delete(targetTracker.missing, target.ID)
 		targetTracker.versions.Observe(target.Service, target.Version, targetTracker.clock.Now())
 		if targetTracker.registry.Put(target) && target.Draining {
@@ -89,6 +97,22 @@
 	targetTracker.removeMissing()
 }
 
+// maxUnreadable bounds the memory for keys of entries that cannot be decoded.
+const maxUnreadable = 1000
+
+// recordUnreadable logs that an entry names no target, once until it is readable again.
+func (targetTracker *targetTracker) recordUnreadable(key string, err error) {
+	targetTracker.metrics.Count("target_entries_unreadable")
+	if targetTracker.unreadable[key] {
+		return
+	}
+	if len(targetTracker.unreadable) >= maxUnreadable {
+		clear(targetTracker.unreadable)
+	}
+	targetTracker.unreadable[key] = true
+	targetTracker.logger.WithError(err).Warn("entry of a target cannot be decoded; using the others")
+}
+
 // removeMissing removes the targets without an entry once the store has been
 // available for long enough that a running target would have renewed its entry.
 func (targetTracker *targetTracker) removeMissing() {
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
@@ -37,7 +38,7 @@
 		clock := clockwork.NewFakeClock()
 		since, healthy := clock.Now().Add(-test.healthyFor), test.healthyFor >= 0
 		registry := placement.NewRegistry("dc", placement.DefaultPolicy(rand.IntN))
-		targetTracker := newTargetTracker(clock, &log.Logger{Handler: discard.Default}, registry, func() (time.Time, bool) { return since, healthy })
+		targetTracker := newTargetTracker(clock, &log.Logger{Handler: discard.Default}, metric.Discard(), registry, func() (time.Time, bool) { return since, healthy })
 		targetTracker.apply([]store.Record{{Key: "t-1", Value: entry}}, true)
 		targetTracker.apply([]store.Record{{Key: "t-1"}}, false)
 		clock.Advance(test.after)
@@ -54,7 +55,7 @@
 	clock := clockwork.NewFakeClock()
 	restored := clock.Now()
 	registry := placement.NewRegistry("dc", placement.DefaultPolicy(rand.IntN))
-	targetTracker := newTargetTracker(clock, &log.Logger{Handler: discard.Default}, registry, func() (time.Time, bool) { return restored, true })
+	targetTracker := newTargetTracker(clock, &log.Logger{Handler: discard.Default}, metric.Discard(), registry, func() (time.Time, bool) { return restored, true })
 	targetTracker.apply([]store.Record{{Key: "t-1", Value: entry}}, true)
 	targetTracker.apply(nil, true)
 	clock.Advance(2 * time.Second)
@@ -109,7 +110,7 @@
 		clock := clockwork.NewFakeClock()
 		since := clock.Now().Add(-time.Minute)
 		registry := placement.NewRegistry("dc", placement.DefaultPolicy(rand.IntN))
-		targetTracker := newTargetTracker(clock, &log.Logger{Handler: discard.Default}, registry, func() (time.Time, bool) { return since, true })
+		targetTracker := newTargetTracker(clock, &log.Logger{Handler: discard.Default}, metric.Discard(), registry, func() (time.Time, bool) { return since, true })
 		targetTracker.apply([]store.Record{{Key: "t-1", Value: entry("v1")}}, true)
 		for range 20 {
 			clock.Advance(300 * time.Millisecond)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,7 +6,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // Record is a key with its value. A record without a value deletes its key.
@@ -112,6 +114,20 @@
 		if !listing.More || len(listing.Records) == 0 {
 			return records, end, nil
 		}
-		after = listing.Records[len(listing.Records)-1].Key
+		next := pageEnd(listing.Records[len(listing.Records)-1].Key)
+		if next == after {
+			return nil, 0, fmt.Errorf("listing of topic %q does not go on after key %q", topic, after)
+		}
+		after = next
+	}
+}
+
+// pageEnd returns the key after which a listing continues. A key that is not UTF-8 does
+// not survive the encoding of a page, so the listing continues after all keys that
+// differ in the replaced bytes only.
+func pageEnd(last string) string {
+	if prefix, _, replaced := strings.Cut(last, string(utf8.RuneError)); replaced {
+		return prefix + "\xff\xff\xff\xff"
 	}
+	return last
 }
