Send nothing more to a target that says that it is leaving

No code read the header.

Change: the head of every response to this host is read for it (plain ones, streams, refusals, errors, responses to earlier requests on the connection, exchanges with another host, and, by the host that makes the connection, exchanges for another one). The target counts as draining from then on, by its ID and start: entries that list it as ready, an entry that vanishes and comes back, and a lost store change nothing, and an entry with a later start begins afresh. Hosts tell each other of departures for 10 s beside the limits of targets, at most 256 in a message; older builds skip the field. At most 4096 are remembered, each for ten minutes. A request that has waited for room under a request limit looks again before it is sent. If all targets of a service are leaving, or the last one of the version that a stream began at, the request is refused at once (targets_leaving, stream_version_gone; Retry-After 1 s, in which a replaced target is known). Only the single value "1" counts.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -91,7 +91,9 @@
 	exchange.triedTargets, exchange.triedVersions = append(exchange.triedTargets, target.ID), append(exchange.triedVersions, target.Version)
 	attempt := exchange.request.Attempt
 	matches := func(status int, header http.Header, reused bool) bool {
-		echoed := platform.DecodeResponse(status, header).Attempt
+		head := platform.DecodeResponse(status, header)
+		exchange.observeDeparture(target, head)
+		echoed := head.Attempt
 		if echoed == attempt || echoed == "" && status >= http.StatusBadRequest && !reused {
 			return true
 		}
@@ -212,9 +214,13 @@
 		return newRejection(http.StatusBadGateway, "outcome_unknown")
 	}
 	if exchange.version != "" {
-		return newRejection(http.StatusServiceUnavailable, "stream_version_gone").withRetryDelay(busyRetryDelay).
+		return newRejection(http.StatusServiceUnavailable, "stream_version_gone").withRetryDelay(departureRetryDelay).
 			withCause(fmt.Errorf("service %q has no other target of software version %q, at which the stream began", exchange.service, exchange.version))
 	}
+	if exchange.handler.registry.AllDraining(exchange.service) {
+		return newRejection(http.StatusServiceUnavailable, "targets_leaving").withRetryDelay(departureRetryDelay).
+			withCause(fmt.Errorf("all targets of service %q are leaving", exchange.service))
+	}
 	return newRejection(http.StatusServiceUnavailable, "no_target").withRetryDelay(busyRetryDelay)
 }
 
--- a/internal/front/rejection.go
+++ b/internal/front/rejection.go
@@ -16,6 +16,7 @@
 	staleRetryDelay      = 300 * time.Millisecond // other hosts may have a newer version
 	busyRetryDelay       = 150 * time.Millisecond // an engine frees a slot after about one turn
 	overloadRetryDelay   = 200 * time.Millisecond // minimum, with jitter up to twice as long; some programs end in this time
+	departureRetryDelay  = time.Second            // in which a replaced target has started and its entry is known
 	quarantineRetryDelay = 30 * time.Second
 	storeRetryDelay      = time.Second // outages of the store and of data centres last several seconds
 )
--- a/internal/front/target_limit.go
+++ b/internal/front/target_limit.go
@@ -52,6 +52,11 @@
 	exchange.waitTime += permit.Delay
 	select {
 	case <-handler.clock.After(permit.Delay):
+		if handler.registry.Draining(target.ID) {
+			exchange.recordOutcome(target, placement.Abandoned)
+			exchange.triedTargets, exchange.triedVersions = append(exchange.triedTargets, target.ID), append(exchange.triedVersions, target.Version)
+			return exchange.acquireTarget(ctx)
+		}
 		return target, true, nil
 	case <-ctx.Done():
 		exchange.recordOutcome(target, placement.Abandoned)
@@ -70,6 +75,19 @@
 		withCause(fmt.Errorf("no target of service %q has room under its request limit for %v", exchange.service, delay.Round(time.Millisecond)))
 }
 
+// observeDeparture records that a target has said that it is leaving. Any response on a
+// connection to it says so, whichever request it belongs to.
+func (exchange *exchange) observeDeparture(target placement.Target, head request.Response) {
+	handler := exchange.handler
+	if !head.Leaving || head.Target != "" && head.Target != target.ID {
+		return
+	}
+	if handler.registry.MarkLeaving(target.ID, target.StartedAtMillis, handler.clock.Now()) {
+		handler.metrics.Count("target_departures")
+		handler.logger.WithFields(log.Fields{"target": target.ID, "service": target.Service, "source": "response", "attempt": exchange.request.Attempt}).Info("target is leaving")
+	}
+}
+
 // observeLimit records what the response of a target says about the requests
 // that it accepts. Only a response to a request that ran can lift a limit: a
 // refusal need not repeat it.
--- a/internal/front/target_limit_test.go
+++ b/internal/front/target_limit_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -57,3 +58,40 @@
 		}
 	}
 }
+
+// ownCoordinator implements capacity.Coordinators on the only host.
+type ownCoordinator struct{}
+
+func (ownCoordinator) TargetCoordinator(string) (string, bool) { return "", true }
+func (ownCoordinator) RequestPermit(context.Context, string, capacity.PermitRequest) (capacity.PermitResponse, error) {
+	return capacity.PermitResponse{}, nil
+}
+func (ownCoordinator) ReachableShare() (reachable, single float64) { return 1, 1 }
+
+// TestTargetLeavesDuringWait guards against sending a request to a target that has said
+// that it is leaving while the request waited for room under its request limit.
+func TestTargetLeavesDuringWait(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		is := is.New(t)
+		clock, board := clockwork.NewFakeClockAt(time.Unix(1000, 0)), capacity.NewBoard()
+		registry := placement.NewRegistry("dc", placement.DefaultPolicy(func(int) int { return 0 }))
+		registry.Put(placement.Target{ID: "t", Service: "s", Slots: 4, StartedAtMillis: 5})
+		board.Observe("t", capacity.Announcement{Limited: true, Rate: 4, Boot: 5, ObservedAt: clock.Now()})
+		handler := New(Dependencies{
+			Clock: clock, Logger: &log.Logger{Handler: discard.Default}, Metrics: metric.Discard(), Registry: registry,
+			TargetLimits: board, TargetLimiter: capacity.NewLimiter(board, ownCoordinator{}, clock, metric.Discard()),
+		})
+		exchange := &exchange{handler: handler, request: &request.Request{Attempt: "a"}, route: &route.Route{}, service: "s", deadline: clock.Now().Add(3 * time.Second)}
+		found := make(chan bool)
+		go func() {
+			_, ok, _ := exchange.acquireTarget(context.Background())
+			found <- ok
+		}()
+		is.NoErr(clock.BlockUntilContext(t.Context(), 1)) // the request waits for its permit
+		if leaves {
+			exchange.observeDeparture(placement.Target{ID: "t", Service: "s", StartedAtMillis: 5}, request.Response{Leaving: true})
+		}
+		clock.Advance(maxPermitDelay)
+		is.Equal(<-found, !leaves)
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/godwitspread/godwitspread/internal/outbound"
+	"github.com/godwitspread/godwitspread/platform"
 )
 
 // exchangePollInterval is how often a stopping host looks whether it still serves
@@ -18,8 +22,18 @@
 	if !known {
 		return send(outbound.ExchangeChunk{Refusal: outbound.HostUnable})
 	}
+	if target.Draining && len(request.Message) > 0 {
+		return send(outbound.ExchangeChunk{Refusal: outbound.TargetUnreachable})
+	}
 	gateway.metrics.Count("exchanges_for_hosts")
-	return gateway.pool.ServeExchange(ctx, request, target.Address, send)
+	observe := func(status int, header http.Header) {
+		head := platform.DecodeResponse(status, header)
+		if head.Leaving && (head.Target == "" || head.Target == target.ID) && gateway.registry.MarkLeaving(target.ID, target.StartedAtMillis, gateway.clock.Now()) {
+			gateway.metrics.Count("target_departures")
+			gateway.logger.WithFields(log.Fields{"target": target.ID, "service": target.Service, "source": "exchange"}).Info("target is leaving")
+		}
+	}
+	return gateway.pool.ServeExchange(ctx, request, target.Address, observe, send)
 }
 
 // awaitExchanges waits until no exchange of another host is in progress.
--- a/internal/gateway/local_host.go
+++ b/internal/gateway/local_host.go
@@ -17,6 +17,7 @@
 		Stopping: gateway.stopping.Load(), StoreReachable: gateway.store.DirectReachable(), StoreFast: gateway.store.DirectFast(),
 		Load: gateway.registry.LocalLoad(), CrashCounts: gateway.crashTracker.LocalCrashes(gateway.clock.Now()),
 		TargetLimits: gateway.targetLimits.Reports(gateway.clock.Now()), TargetsLost: gateway.pool.Lost(),
+		Departures: gateway.registry.Departures(gateway.clock.Now()),
 	}
 	if table := gateway.configuration.Table(); table != nil {
 		status.Version = table.Version()
@@ -44,6 +45,12 @@
 		}
 	}
 	gateway.configuration.refreshIfOlder(news.Version)
+	for target, departure := range news.Departures {
+		if gateway.registry.MergeDeparture(target, departure, gateway.clock.Now()) {
+			gateway.metrics.Count("target_departures")
+			gateway.logger.WithFields(log.Fields{"target": target, "source": news.Source, "age_ms": departure.Age.Milliseconds()}).Info("target is leaving")
+		}
+	}
 	for target, report := range news.Limits {
 		if gateway.targetLimits.Merge(target, report, gateway.clock.Now()) {
 			gateway.metrics.Count("target_limits_changed")
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -78,6 +78,7 @@
 	gateway.pool.CloseIdle(func(id string) bool { return known[id] })
 	gateway.targetLimits.Retain(func(id string) bool { return known[id] })
 	gateway.targetLimiter.EvictBuckets()
+	gateway.registry.EvictDepartures(gateway.clock.Now())
 	gateway.metrics.SetGauge("targets_limited", float64(len(gateway.targetLimits.Limits())))
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/godwitspread/godwitspread/internal/codec"
 	"github.com/godwitspread/godwitspread/internal/membership"
 	"github.com/godwitspread/godwitspread/internal/peer"
+	"github.com/godwitspread/godwitspread/internal/placement"
 	"github.com/godwitspread/godwitspread/internal/store"
 	"github.com/godwitspread/godwitspread/internal/worker"
 )
@@ -52,6 +53,8 @@
 	CrashCounts    map[uint64]int             `msgpack:"q,omitempty"` // target crashes, by the digest of the request that was running
 	TargetLimits   map[string]capacity.Report `msgpack:"r,omitempty"` // request limits that targets announced to the host, by target
 	TargetsLost    bool                       `msgpack:"u,omitempty"` // the host can connect to no target
+	// Departures are the targets that have said that they are leaving, by target.
+	Departures map[string]placement.Departure `msgpack:"d,omitempty"`
 }
 
 // state returns what all hosts know of the host.
@@ -90,6 +93,7 @@
 	Version     int64                     // newest version of the configuration
 	CrashCounts map[string]map[uint64]int // target crashes, by host and by the digest of the request that was running
 	Limits      map[string]capacity.Report
+	Departures  map[string]placement.Departure // targets that are leaving
 }
 
 // Mesh is this host's view of the other hosts.
@@ -211,13 +215,13 @@
 	}
 	mesh.observeNews(status.Member.Host, membership.Summary{
 		Version: status.Version, CrashCounts: map[string]map[uint64]int{status.Member.Host: status.CrashCounts},
-	}, status.TargetLimits)
+	}, targetNews{status.TargetLimits, status.Departures})
 }
 
 // observeNews passes on what another host has told, and the load of all others if it
 // was not summed just now.
-func (mesh *Mesh) observeNews(source string, summary membership.Summary, limits map[string]capacity.Report) {
-	mesh.local.ObserveNews(News{Source: source, Version: summary.Version, CrashCounts: summary.CrashCounts, Limits: limits})
+func (mesh *Mesh) observeNews(source string, summary membership.Summary, targets targetNews) {
+	mesh.local.ObserveNews(News{Source: source, Version: summary.Version, CrashCounts: summary.CrashCounts, Limits: targets.Limits, Departures: targets.Departures})
 	mesh.observeLoad(loadInterval)
 }
 
--- a/internal/mesh/tell.go
+++ b/internal/mesh/tell.go
@@ -5,24 +5,31 @@
 
 	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/membership"
+	"github.com/godwitspread/godwitspread/internal/placement"
 )
 
+// targetNews is what targets have said to hosts.
+type targetNews struct {
+	Limits     map[string]capacity.Report     `msgpack:"l,omitempty"`
+	Departures map[string]placement.Departure `msgpack:"g,omitempty"`
+}
+
 // reportRequest is the argument of methodReport.
 type reportRequest struct {
-	Report membership.Report          `msgpack:"r"`
-	Limits map[string]capacity.Report `msgpack:"l,omitempty"`
+	Report membership.Report `msgpack:"r"`
+	targetNews
 }
 
 // reportResponse is the response to methodReport.
 type reportResponse struct {
-	Response membership.ReportResponse  `msgpack:"r"`
-	Limits   map[string]capacity.Report `msgpack:"l,omitempty"`
+	Response membership.ReportResponse `msgpack:"r"`
+	targetNews
 }
 
 // digestMessage is the argument of methodDigest and the response to it.
 type digestMessage struct {
-	Digest membership.Digest          `msgpack:"d"`
-	Limits map[string]capacity.Report `msgpack:"l,omitempty"`
+	Digest membership.Digest `msgpack:"d"`
+	targetNews
 }
 
 // exchange makes the calls of an interval.
@@ -78,7 +85,7 @@
 func (mesh *Mesh) report(ctx context.Context, aggregator Member, status Status) {
 	for {
 		mesh.mutex.Lock()
-		request := reportRequest{Report: mesh.view.NewReport(status.summary()), Limits: status.TargetLimits}
+		request := reportRequest{Report: mesh.view.NewReport(status.summary()), targetNews: targetNews{status.TargetLimits, status.Departures}}
 		mesh.mutex.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
 		var response reportResponse
@@ -89,7 +96,7 @@
 			mesh.mutex.Lock()
 			mesh.view.ApplyReport(response.Response, mesh.clock.Now())
 			mesh.mutex.Unlock()
-			mesh.observeNews(aggregator.Host, response.Response.Summary, response.Limits)
+			mesh.observeNews(aggregator.Host, response.Response.Summary, response.targetNews)
 			return
 		}
 		mesh.logger.WithError(err).WithField("peer", aggregator.Host).Debug("report to an aggregator failed")
@@ -107,11 +114,11 @@
 func (mesh *Mesh) serveReport(_ context.Context, request reportRequest) (reportResponse, error) {
 	status := mesh.localStatus()
 	mesh.mutex.Lock()
-	response := reportResponse{Response: mesh.view.ServeReport(request.Report, status.summary(), mesh.clock.Now()), Limits: mesh.local.KnownLimits()}
+	response := reportResponse{Response: mesh.view.ServeReport(request.Report, status.summary(), mesh.clock.Now()), targetNews: targetNews{mesh.local.KnownLimits(), status.Departures}}
 	mesh.mutex.Unlock()
 	summary := request.Report.Summary
 	host := request.Report.State.Host
-	mesh.observeNews(host, membership.Summary{Version: summary.Version, CrashCounts: map[string]map[uint64]int{host: summary.CrashCounts[""]}}, request.Limits)
+	mesh.observeNews(host, membership.Summary{Version: summary.Version, CrashCounts: map[string]map[uint64]int{host: summary.CrashCounts[""]}}, request.targetNews)
 	return response, nil
 }
 
@@ -138,7 +145,7 @@
 	status := mesh.localStatus()
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	message := digestMessage{Digest: mesh.view.NewDigest(receiver, status.summary(), mesh.clock.Now()), Limits: status.TargetLimits}
+	message := digestMessage{Digest: mesh.view.NewDigest(receiver, status.summary(), mesh.clock.Now()), targetNews: targetNews{status.TargetLimits, status.Departures}}
 	if mesh.view.Relaying() {
 		message.Limits = mesh.local.KnownLimits()
 	}
@@ -152,5 +159,5 @@
 	mesh.mutex.Lock()
 	mesh.view.ApplyDigest(message.Digest, mesh.clock.Now())
 	mesh.mutex.Unlock()
-	mesh.observeNews(message.Digest.Member.Host, message.Digest.Summary, message.Limits)
+	mesh.observeNews(message.Digest.Member.Host, message.Digest.Summary, message.targetNews)
 }
--- a/internal/outbound/relay.go
+++ b/internal/outbound/relay.go
@@ -1,11 +1,14 @@
 package outbound
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -160,8 +163,8 @@
 
 // ServeExchange sends a request of another host to a target with an address, and
 // passes on what it sends until it closes the connection or the context ends. It
-// never uses a relay itself.
-func (pool *Pool) ServeExchange(ctx context.Context, request ExchangeRequest, address string, send func(ExchangeChunk) error) error {
+// calls observe with the head of each response, and never uses a relay itself.
+func (pool *Pool) ServeExchange(ctx context.Context, request ExchangeRequest, address string, observe func(status int, header http.Header), send func(ExchangeChunk) error) error {
 	if pool.relayed.Add(1) > maxRelayed || pool.Lost() {
 		pool.relayed.Add(-1)
 		return send(ExchangeChunk{Refusal: HostUnable})
@@ -183,10 +186,12 @@
 		return err
 	}
 	buffer := make([]byte, relayBufferSize)
+	heads := headScanner{observe: observe}
 	for {
 		count, err := connection.Read(buffer)
 		if count > 0 {
 			pool.reachability.heard()
+			heads.scan(buffer[:count])
 			if err := send(ExchangeChunk{Data: buffer[:count]}); err != nil {
 				return err
 			}
@@ -200,5 +205,41 @@
 	}
 }
 
+// headScanner finds the heads at the beginning of what a target sends: those of
+// informational responses, and that of the response.
+type headScanner struct {
+	observe func(status int, header http.Header)
+	pending []byte
+	done    bool
+}
+
+// scan reads the next bytes. It gives up on a head that is too large or malformed, which
+// the other host rejects.
+func (scanner *headScanner) scan(data []byte) {
+	if scanner.done {
+		return
+	}
+	const headEnd = "\r\n\r\n"
+	searched := max(0, len(scanner.pending)-len(headEnd)+1)
+	scanner.pending = append(scanner.pending, data...)
+	for !scanner.done {
+		found := bytes.Index(scanner.pending[searched:], []byte(headEnd))
+		if found < 0 {
+			scanner.done = len(scanner.pending) > maxHeadBytes
+			break
+		}
+		head := scanner.pending[:searched+found+len(headEnd)]
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
+		if err == nil {
+			scanner.observe(response.StatusCode, response.Header)
+		}
+		scanner.done = err != nil || response.StatusCode >= http.StatusOK
+		scanner.pending, searched = scanner.pending[len(head):], 0
+	}
+	if scanner.done {
+		scanner.pending = nil
+	}
+}
+
 // Relayed returns the number of exchanges in progress for other hosts.
 func (pool *Pool) Relayed() int64 { return pool.relayed.Load() }
--- a/internal/outbound/relay_test.go
+++ b/internal/outbound/relay_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -138,6 +139,37 @@
 	}
 }
 
+// TestHeadScanner guards against missing what a target says in the head of a response to
+// another host's request, however its bytes arrive, and against reading it from a body.
+func TestHeadScanner(t *testing.T) {
+	const (
+		informational = "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n"
+		final         = "HTTP/1.1 200 OK\r\nX: 2\r\n\r\n"
+	)
+	tests := []struct {
+		name, text string
+		seen       []int
+	}{
+		{"response", final + "body", []int{200}},
+		{"informational response", informational + final, []int{103, 200}},
+		{"body that looks like a head", final + final, []int{200}},
+		{"no head", "this is no response\r\n\r\n" + final, nil},
+		{"head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: 1\r\n", maxHeadBytes), nil},
+	}
+	for _, test := range tests {
+		for _, size := range []int{1, 7, len(test.text)} {
+			is := is.New(t)
+			var seen []int
+			scanner := headScanner{observe: func(status int, _ http.Header) { seen = append(seen, status) }}
+			for rest := []byte(test.text); len(rest) > 0; rest = rest[min(size, len(rest)):] {
+				scanner.scan(rest[:min(size, len(rest))])
+				is.True(len(scanner.pending) <= maxHeadBytes+size)
+			}
+			is.Equal(seen, test.seen) // test.name
+		}
+	}
+}
+
 // TestServeExchange checks what a host does with another host's request: it connects
 // by itself only, passes everything on, and stops when the other host has left.
 func TestServeExchange(t *testing.T) {
@@ -174,7 +206,9 @@
 		}
 		var chunks []ExchangeChunk
 		data := ""
-		err := pool.ServeExchange(context.Background(), ExchangeRequest{Target: "t", Message: []byte(requestText)}, address, func(chunk ExchangeChunk) error {
+		var statuses []int
+		observe := func(status int, _ http.Header) { statuses = append(statuses, status) }
+		err := pool.ServeExchange(context.Background(), ExchangeRequest{Target: "t", Message: []byte(requestText)}, address, observe, func(chunk ExchangeChunk) error {
 			chunks = append(chunks, chunk)
 			data += string(chunk.Data)
 			return nil
@@ -183,6 +217,7 @@
 		is.Equal(chunks[0].Refusal, test.refusal) // test.name
 		is.Equal(len(chunks[0].Data), 0)          // the first chunk only tells whether the target is connected
 		is.Equal(data, test.data)                 // test.name
+		is.Equal(len(statuses), strings.Count(test.data, "HTTP/1.1 "))
 		is.Equal(pool.Relayed(), int64(0))
 	}
 	is := is.New(t)
@@ -193,7 +228,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := NewPool(clockwork.NewRealClock())
-	_ = pool.ServeExchange(ctx, ExchangeRequest{Target: "t", Message: []byte(requestText)}, address, func(ExchangeChunk) error {
+	_ = pool.ServeExchange(ctx, ExchangeRequest{Target: "t", Message: []byte(requestText)}, address, func(int, http.Header) {}, func(ExchangeChunk) error {
 		time.AfterFunc(20*time.Millisecond, cancel)
 		return nil
 	})
--- /dev/null
+++ b/internal/placement/departures.go
@@ -0,0 +1,157 @@
+package placement
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// departureTTL is how long a departure is remembered: an entry of the store that is
+	// older than the departure does not come back later.
+	departureTTL = 10 * time.Minute
+	// departureNews is how long hosts tell each other of a departure.
+	departureNews     = 10 * time.Second
+	maxDepartures     = 4096 // remembered; a departure is needed until the target has ended
+	maxDepartureNews  = 256  // in one message
+	maxDepartureDelay = time.Minute
+)
+
+// Departure tells another host that a target is leaving. It contains an age, because the
+// clocks of hosts differ.
+type Departure struct {
+	Boot int64         `msgpack:"b,omitempty"` // start time of the target, in Unix milliseconds
+	Age  time.Duration `msgpack:"a,omitempty"` // since the response that said so
+}
+
+// departures are the targets that have said that they are leaving, by ID. Until a target
+// starts again, no entry of the store overrides what it said itself.
+type departures struct {
+	mutex   sync.Mutex
+	entries map[string]departed
+}
+
+type departed struct {
+	boot int64 // latest start of the target that is leaving
+	at   time.Time
+}
+
+func newDepartures() *departures { return &departures{entries: make(map[string]departed)} }
+
+// record records that a target is leaving, and reports whether that is news.
+func (departures *departures) record(id string, boot int64, at time.Time) bool {
+	departures.mutex.Lock()
+	defer departures.mutex.Unlock()
+	if known, ok := departures.entries[id]; ok && known.boot >= boot {
+		return false
+	}
+	if len(departures.entries) >= maxDepartures {
+		departures.dropOldest()
+	}
+	departures.entries[id] = departed{boot: boot, at: at}
+	return true
+}
+
+// dropOldest makes room for a departure. The caller must hold the mutex.
+func (departures *departures) dropOldest() {
+	oldest := ""
+	for id, entry := range departures.entries {
+		if oldest == "" || entry.at.Before(departures.entries[oldest].at) {
+			oldest = id
+		}
+	}
+	delete(departures.entries, oldest)
+}
+
+// includes reports whether a target that started at a time is leaving. Earlier starts
+// under its ID have left as well.
+func (departures *departures) includes(id string, boot int64) bool {
+	departures.mutex.Lock()
+	defer departures.mutex.Unlock()
+	known, ok := departures.entries[id]
+	return ok && boot <= known.boot
+}
+
+// news returns the departures that this host tells other hosts.
+func (departures *departures) news(now time.Time) map[string]Departure {
+	departures.mutex.Lock()
+	defer departures.mutex.Unlock()
+	var news map[string]Departure
+	for id, entry := range departures.entries {
+		age := max(0, now.Sub(entry.at))
+		if age > departureNews || len(news) >= maxDepartureNews {
+			continue
+		}
+		if news == nil {
+			news = make(map[string]Departure)
+		}
+		news[id] = Departure{Boot: entry.boot, Age: age}
+	}
+	return news
+}
+
+// evict deletes the departures of targets that have ended long ago.
+func (departures *departures) evict(now time.Time) {
+	departures.mutex.Lock()
+	defer departures.mutex.Unlock()
+	for id, entry := range departures.entries {
+		if now.Sub(entry.at) > departureTTL {
+			delete(departures.entries, id)
+		}
+	}
+}
+
+// MarkLeaving records that a target has said that it is leaving: it gets no further
+// requests until it has started again. It reports whether that is news.
+func (registry *Registry) MarkLeaving(id string, boot int64, now time.Time) bool {
+	if !registry.departures.record(id, boot, now) {
+		return false
+	}
+	registry.applyDeparture(id)
+	return true
+}
+
+// MergeDeparture records the departure of a target that another host tells. It reports
+// whether that is news.
+func (registry *Registry) MergeDeparture(id string, departure Departure, now time.Time) bool {
+	if id == "" || departure.Age < 0 || departure.Age > maxDepartureDelay {
+		return false
+	}
+	return registry.MarkLeaving(id, departure.Boot, now.Add(-departure.Age))
+}
+
+// Departures returns what this host tells other hosts of targets that are leaving, by
+// target ID.
+func (registry *Registry) Departures(now time.Time) map[string]Departure {
+	return registry.departures.news(now)
+}
+
+// EvictDepartures forgets targets that left long ago.
+func (registry *Registry) EvictDepartures(now time.Time) { registry.departures.evict(now) }
+
+func (registry *Registry) applyDeparture(id string) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if state, ok := registry.targets[id]; ok {
+		state.target.Draining = state.target.Draining || registry.departures.includes(id, state.target.StartedAtMillis)
+	}
+}
+
+// Draining reports whether a target gets no further requests, and is true for unknown
+// targets.
+func (registry *Registry) Draining(id string) bool {
+	target, known := registry.Target(id)
+	return !known || target.Draining
+}
+
+// AllDraining reports whether a service has targets and none of them accepts further
+// requests.
+func (registry *Registry) AllDraining(service string) bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	for _, state := range registry.byService[service] {
+		if !state.target.Draining {
+			return false
+		}
+	}
+	return len(registry.byService[service]) > 0
+}
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -34,6 +34,7 @@
 type Registry struct {
 	dataCentre string
 	policy     Policy
+	departures *departures
 
 	mutex       sync.Mutex
 	targets     map[string]*targetState
@@ -83,7 +84,7 @@
 // NewRegistry returns an empty registry for a host in the given data centre.
 func NewRegistry(dataCentre string, policy Policy) *Registry {
 	return &Registry{
-		dataCentre: dataCentre, policy: policy, targets: make(map[string]*targetState), byService: make(map[string][]*targetState), affinities: make(map[string]affinityEntry),
+		dataCentre: dataCentre, policy: policy, departures: newDepartures(), targets: make(map[string]*targetState), byService: make(map[string][]*targetState), affinities: make(map[string]affinityEntry),
 	}
 }
 
@@ -92,6 +93,7 @@
 func (registry *Registry) Put(target Target) bool {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
+	target.Draining = target.Draining || registry.departures.includes(target.ID, target.StartedAtMillis)
 	if existing, ok := registry.targets[target.ID]; ok {
 		changed := existing.target != target
 		regrouped := existing.target.Service != target.Service
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -42,6 +42,7 @@
 	Load      Load
 	HasLoad   bool
 	Streaming bool
+	Leaving   bool // the target is leaving and accepts no further requests
 
 	LimitState LimitState
 	Limit      float64 // requests a second that the target accepts from all hosts together, if it names a limit
