Test responses that end with their connection, and abort old callers with a reset

Towards callers it did not: a stream that was broken off ended in order for a caller of HTTP/1.0, which has no chunks and takes it for whole (TestAbortWithoutChunks). Its connection is now reset. Responses that are buffered whole carry their length, so that a write that fails shows on any version.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -133,6 +133,8 @@
 type exchange struct {
 	handler       *Handler
 	writer        http.ResponseWriter
+	context       context.Context // of the caller's connection
+	oldProtocol   bool            // the caller speaks HTTP/1.0
 	request       *request.Request
 	table         *route.Table // version of the configuration by which the request is served, also if a later one comes into force meanwhile
 	route         *route.Route
@@ -158,7 +160,7 @@
 	if handler.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	exchange := &exchange{handler: handler, writer: writer, arrivedAt: handler.clock.Now()}
+	exchange := &exchange{handler: handler, writer: writer, context: incoming.Context(), oldProtocol: !incoming.ProtoAtLeast(1, 1), arrivedAt: handler.clock.Now()}
 	if rejection := exchange.admit(incoming); rejection != nil {
 		exchange.writeRejection(rejection)
 		return
@@ -181,6 +183,26 @@
 	}
 }
 
+// resetKey is the key of the function that makes a caller's connection end with a reset.
+type resetKey struct{}
+
+// WithReset returns the context of a connection to a caller with a function that makes
+// it end with a reset.
+func WithReset(ctx context.Context, reset func() error) context.Context {
+	return context.WithValue(ctx, resetKey{}, reset)
+}
+
+// abort ends a response that is incomplete. A caller of HTTP/1.0 gets it without chunks,
+// so that the end of the connection in order would make it look complete.
+func (exchange *exchange) abort() {
+	if reset, ok := exchange.context.Value(resetKey{}).(func() error); ok && exchange.oldProtocol {
+		if err := reset(); err != nil {
+			exchange.handler.logger.WithFields(exchange.logFields()).WithError(err).Warn("connection of a caller cannot be reset")
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // workspaceName returns the name sent to the target, or an empty string.
 func (exchange *exchange) workspaceName() string {
 	if exchange.workspace == nil {
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -231,6 +232,9 @@
 
 // writeResponse sends a buffered response to the caller.
 func (exchange *exchange) writeResponse(response *outbound.Response, body []byte) {
+	if mayHaveBody(exchange.request.Method, response.StatusCode) {
+		exchange.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	exchange.writeHead(response)
 	if _, err := exchange.writer.Write(body); err != nil {
 		exchange.handler.logger.WithFields(exchange.logFields()).WithError(err).Info("caller disconnected before the response was written")
@@ -239,6 +243,11 @@
 	exchange.recordServed(log.Fields{"status": response.StatusCode, "bytes": len(body)})
 }
 
+// mayHaveBody reports whether the response to a request may have a body.
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // writeHead sends the status and header of a response to the caller.
 func (exchange *exchange) writeHead(response *outbound.Response) {
 	header := exchange.writer.Header()
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -189,7 +189,8 @@
 	exchange := relay.exchange
 	exchange.handler.logger.WithFields(exchange.logFields()).WithFields(log.Fields{"reason": rejection.reason, "events": relay.events}).Info("stream aborted before its end")
 	exchange.handler.metrics.Count("streams_cut")
-	panic(http.ErrAbortHandler)
+	exchange.abort()
+	return nil
 }
 
 // complete ends a stream that was passed on entirely. It makes the turn durable
--- a/internal/gateway/caller_connection.go
+++ b/internal/gateway/caller_connection.go
@@ -39,6 +39,14 @@
 	return nil
 }
 
+// resetOnClose makes the connection end with a reset when it is closed.
+func (connection *callerConnection) resetOnClose() error {
+	if socket, ok := connection.Conn.(*net.TCPConn); ok {
+		return socket.SetLinger(0)
+	}
+	return nil
+}
+
 // responded records that a request was answered and the next one is awaited.
 func (connection *callerConnection) responded() {
 	connection.mutex.Lock()
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/godwitspread/godwitspread/internal/front"
 	"github.com/godwitspread/godwitspread/internal/route"
 )
 
@@ -71,7 +72,7 @@
 	callerServer.limits = limits
 	server := &http.Server{
 		Handler: http.HandlerFunc(callerServer.handle), MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
-		WriteTimeout: defaultWriteTimeout, IdleTimeout: limits.IdleTimeout, ConnState: callerServer.trackState,
+		WriteTimeout: defaultWriteTimeout, IdleTimeout: limits.IdleTimeout, ConnState: callerServer.trackState, ConnContext: withConnection,
 	}
 	callerServer.current = newQueueListener()
 	callerServer.servers = append(callerServer.servers, server)
@@ -91,6 +92,14 @@
 	callerServer.handler.ServeHTTP(writer, request)
 }
 
+// withConnection gives the handler the means to reset the connection of a request.
+func withConnection(ctx context.Context, socket net.Conn) context.Context {
+	if connection, ok := socket.(*callerConnection); ok {
+		return front.WithReset(ctx, connection.resetOnClose)
+	}
+	return ctx
+}
+
 func (callerServer *callerServer) trackState(socket net.Conn, state http.ConnState) {
 	connection, ok := socket.(*callerConnection)
 	if !ok {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,6 +30,7 @@
 	hosts   []*testHost
 	version int
 	config  map[string]any
+	mutex   sync.Mutex // protects what the targets of a test share
 }
 
 type testHost struct {
