--- a/internal/origin/resolver.go
+++ b/internal/origin/resolver.go
@@ -37,6 +37,8 @@
 	Version(target string) (string, bool)
 	// Confirm waits until the entries of the targets have been read again.
 	Confirm(ctx context.Context) error
+	// Failing reports whether the entries cannot be read at present.
+	Failing() bool
 	// ConfirmedAt returns the time of day at which the entries were last known to be
 	// complete.
 	ConfirmedAt() time.Time
@@ -136,11 +138,15 @@
 }
 
 // Refresh reads the targets' entries again if that was not done recently, as after a
-// standstill of this host. It reports whether the view is current.
+// standstill of this host. It reports whether the view is current, and does not wait
+// while the store is known to be lost.
 func (resolver *Resolver) Refresh(ctx context.Context) bool {
 	if age := resolver.viewAge(); age >= 0 && age <= maxViewAge {
 		return true
 	}
+	if resolver.targets.Failing() {
+		return false
+	}
 	resolver.metrics.Count("target_views_refreshed")
 	return resolver.confirm(ctx)
 }
--- a/internal/origin/resolver_test.go
+++ b/internal/origin/resolver_test.go
@@ -37,11 +37,13 @@
 	renewed   map[string]string // versions that the next read of the entries finds
 	recent    []string          // versions in the store's log; nil if it does not cover the window
 	storeLost bool
+	failing   bool // the last read has failed
 	readAt    time.Time
 	reads     int
 }
 
 func (targets *fakeTargets) ConfirmedAt() time.Time { return targets.readAt }
+func (targets *fakeTargets) Failing() bool          { return targets.failing }
 
 func (targets *fakeTargets) RecentVersions(context.Context, string, time.Duration) ([]string, bool) {
 	return targets.recent, targets.recent != nil
@@ -198,6 +200,9 @@
 	is.Equal(targets.reads, 1)
 	targets.storeLost = true
 	is.True(!resolver.Refresh(context.Background()))
+	targets.storeLost, targets.failing = false, true
+	is.True(!resolver.Refresh(context.Background())) // does not wait for the store
+	is.Equal(targets.reads, 1)
 }
 
 // TestVersionHistory checks that a version counts until a window after it was last
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -28,7 +28,7 @@
 	Apply func(records []Record, complete bool)
 
 	confirmedNanos atomic.Int64 // start of the last successful read, as Unix time
-	unreachable    bool         // the last read failed, and this has been logged
+	unreachable    atomic.Bool  // the last read failed, and this has been logged
 	mutex          sync.Mutex
 	interruptRead  context.CancelFunc
 	lastRefresh    time.Time
@@ -74,6 +74,9 @@
 	return time.Unix(0, nanos)
 }
 
+// Failing reports whether the last read failed.
+func (follower *Follower) Failing() bool { return follower.unreachable.Load() }
+
 // Confirm waits until a read that began after the call has been applied.
 func (follower *Follower) Confirm(ctx context.Context) error {
 	start := follower.Clock.Now()
@@ -136,15 +139,13 @@
 		}
 		if err == nil {
 			follower.confirm(start)
-			if follower.unreachable {
-				follower.unreachable = false
+			if follower.unreachable.Swap(false) {
 				follower.Logger.WithField("topic", follower.Topic).Info("store reachable again")
 			}
 			follower.pause(follower.ReadInterval)
 			continue
 		}
-		if !follower.unreachable && ctx.Err() == nil {
-			follower.unreachable = true
+		if ctx.Err() == nil && !follower.unreachable.Swap(true) {
 			follower.Logger.WithField("topic", follower.Topic).WithError(err).Warn("store unreachable; continuing with the last known records")
 		}
 		follower.Clock.Sleep(followRetry)
