--- a/internal/gateway/upgrade_test.go
+++ b/internal/gateway/upgrade_test.go
@@ -22,7 +22,7 @@
 )
 
 // production is the build that runs before an upgrade: the last landing.
-const production = "28739aa"
+const production = "d2b1c35"
 
 const (
 	upgradeHosts    = 6
