Bound the lifetime of a stream that a caller names

Found in the read-through: a caller that waits for more than 100 s made the lifetime longer than origins are kept, so that its streams of unknown origin were always refused, and one that waits for years made a host read the whole log of the targets' entries. A log that is longer than the reads is now an error instead of a part without its end.

--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -27,7 +27,8 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	return max(minStreamLifetime, lifetimeAttempts*max(timeout, exchange.request.TimeLeft))
+	longest := min(max(timeout, exchange.request.TimeLeft), origin.MaxTTL/lifetimeAttempts)
+	return max(minStreamLifetime, lifetimeAttempts*longest)
 }
 
 // originKey returns the key of the stream that the request begins or resumes.
--- a/internal/gateway/target_log.go
+++ b/internal/gateway/target_log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -83,7 +84,7 @@
 		}
 		from = page.Next
 	}
-	return records, nil
+	return nil, fmt.Errorf("log of the targets' entries has more records than %d reads return", maxLogReads)
 }
 
 // versionsWithin returns the versions of each service in a window of time up to the last
--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -63,7 +63,7 @@
 // Save queues a record for the store. It does not wait, since a stream whose record is
 // lost is only refused.
 func (archive *Archive) Save(record Record) {
-	lifetime := min(record.TTL, maxTTL)
+	lifetime := min(record.TTL, MaxTTL)
 	value, err := codec.Marshal(archivedOrigin{Origin: record.Origin, Expires: archive.clock.Now().Add(lifetime).UnixMilli()})
 	partition, name := archive.locate(record.Key)
 	if err == nil {
--- a/internal/origin/directory.go
+++ b/internal/origin/directory.go
@@ -28,11 +28,11 @@
 	TTL    time.Duration `msgpack:"l"` // time in which the stream may still be resumed
 }
 
-// Bounds of the records of a host. A record takes about 300 bytes.
-const (
-	maxRecords = 20000
-	maxTTL     = 5 * time.Minute
-)
+// MaxTTL is the longest time for which the origin of a stream is kept.
+const MaxTTL = 5 * time.Minute
+
+// maxRecords bounds the records of a host, of about 300 bytes each.
+const maxRecords = 20000
 
 // directory contains the origins that this host knows. It is safe for concurrent
 // use.
@@ -62,7 +62,7 @@
 			delete(directory.entries, key)
 		}
 	}
-	directory.entries[record.Key] = entry{origin: record.Origin, expiresAt: now.Add(min(record.TTL, maxTTL))}
+	directory.entries[record.Key] = entry{origin: record.Origin, expiresAt: now.Add(min(record.TTL, MaxTTL))}
 }
 
 func (directory *directory) find(key Key, now time.Time) (Origin, bool) {
--- a/internal/origin/resolver.go
+++ b/internal/origin/resolver.go
@@ -97,7 +97,7 @@
 func (resolver *Resolver) Begin(record Record) {
 	resolver.Store(record)
 	resolver.peers.PushOrigin(record)
-	if versions, _ := resolver.versions.Versions(record.Origin.Service, min(archiveLifetimes*record.TTL, maxTTL), resolver.clock.Now()); len(versions) > 1 {
+	if versions, _ := resolver.versions.Versions(record.Origin.Service, min(archiveLifetimes*record.TTL, MaxTTL), resolver.clock.Now()); len(versions) > 1 {
 		resolver.archive.Save(record)
 		resolver.metrics.Count("stream_origins_stored")
 	}
--- a/internal/origin/resolver_test.go
+++ b/internal/origin/resolver_test.go
@@ -222,8 +222,8 @@
 	is.Equal(versions, []string{"v1", "v2"})
 	versions, _ = history.Versions("engines", 9*time.Second, clock.Now())
 	is.Equal(versions, []string{"v2"})
-	_, complete = history.Versions("engines", 2*maxTTL, clock.Now())
-	is.True(!complete) // versions are forgotten after maxTTL
+	_, complete = history.Versions("engines", 2*MaxTTL, clock.Now())
+	is.True(!complete) // versions are forgotten after MaxTTL
 	history.Restart(clock.Now())
 	_, complete = history.Versions("engines", time.Second, clock.Now())
 	is.True(!complete)
@@ -242,6 +242,6 @@
 	last := Key{Attempt: fmt.Sprint(maxRecords + 99)}
 	_, found := directory.find(last, clock.Now())
 	is.True(found)
-	_, found = directory.find(last, clock.Now().Add(maxTTL+time.Second))
+	_, found = directory.find(last, clock.Now().Add(MaxTTL+time.Second))
 	is.True(!found)
 }
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -37,7 +37,7 @@
 	}
 	versions[version] = now
 	for other, seen := range versions {
-		if now.Sub(seen) > maxTTL {
+		if now.Sub(seen) > MaxTTL {
 			delete(versions, other)
 		}
 	}
@@ -55,5 +55,5 @@
 		}
 	}
 	slices.Sort(versions)
-	return versions, !history.since.IsZero() && now.Sub(history.since) >= window && window <= maxTTL
+	return versions, !history.since.IsZero() && now.Sub(history.since) >= window && window <= MaxTTL
 }
