--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -58,8 +58,8 @@
 		return nil
 	}
 	aggregator.exchanging = true
-	found := aggregator.Member // the caller reads it without the lock of the view
-	return &found
+	member := aggregator.Member // the caller reads it without the lock of the view
+	return &member
 }
 
 // Done records the end of a call to a host. A host that has not responded gets no
