Keep the reset of a caller's connection instead of its context

No change of behaviour: a context does not belong in a struct. TestAbortWithoutChunks and TestUnframedResponses pass with the race detector.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -133,8 +133,7 @@
 type exchange struct {
 	handler       *Handler
 	writer        http.ResponseWriter
-	context       context.Context // of the caller's connection
-	oldProtocol   bool            // the caller speaks HTTP/1.0
+	reset         func() error // makes the caller's connection end with a reset; nil if the response has chunks or a length
 	request       *request.Request
 	table         *route.Table // version of the configuration by which the request is served, also if a later one comes into force meanwhile
 	route         *route.Route
@@ -160,7 +159,10 @@
 	if handler.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	exchange := &exchange{handler: handler, writer: writer, context: incoming.Context(), oldProtocol: !incoming.ProtoAtLeast(1, 1), arrivedAt: handler.clock.Now()}
+	exchange := &exchange{handler: handler, writer: writer, arrivedAt: handler.clock.Now()}
+	if !incoming.ProtoAtLeast(1, 1) {
+		exchange.reset, _ = incoming.Context().Value(resetKey{}).(func() error)
+	}
 	if rejection := exchange.admit(incoming); rejection != nil {
 		exchange.writeRejection(rejection)
 		return
@@ -195,8 +197,8 @@
 // abort ends a response that is incomplete. A caller of HTTP/1.0 gets it without chunks,
 // so that the end of the connection in order would make it look complete.
 func (exchange *exchange) abort() {
-	if reset, ok := exchange.context.Value(resetKey{}).(func() error); ok && exchange.oldProtocol {
-		if err := reset(); err != nil {
+	if exchange.reset != nil {
+		if err := exchange.reset(); err != nil {
 			exchange.handler.logger.WithFields(exchange.logFields()).WithError(err).Warn("connection of a caller cannot be reset")
 		}
 	}
