--- a/review/_trial2/main.go
+++ b/review/_trial2/main.go
@@ -11,7 +11,8 @@
 	"silent-store": silentStore,
 	"poison":       poison,
 	"quota-kill":   quotaKill,
-	"segments":     segments,
+	"sweep":        sweep,
+	"tree":         tree,
 }
 
 // Exit codes of a case.
--- a/review/_trial2/silent_store.go
+++ b/review/_trial2/silent_store.go
@@ -43,7 +43,7 @@
 	record.printf("burst of turns")
 	var programs sync.WaitGroup
 	end := time.Now().Add(6 * time.Second)
-	for number := range 24 {
+	for number := range 28 {
 		programs.Go(func() {
 			for round := 0; time.Now().Before(end); round++ {
 				previous := ""
@@ -81,7 +81,7 @@
 	if bound := acknowledged.Add(configMillis * time.Millisecond); bound.After(judgedFrom) {
 		judgedFrom = bound
 	}
-	time.Sleep(time.Until(judgedFrom) + 100*time.Millisecond)
+	time.Sleep(time.Until(judgedFrom) + 20*time.Millisecond)
 	stale, served := 0, 0
 	for time.Since(acknowledged) < 15*time.Second {
 		for _, host := range deployment.hosts {
