--- a/internal/budget/entrylog.go
+++ b/internal/budget/entrylog.go
@@ -310,28 +310,6 @@
 	return partition.ledger.allocated(program), partition.ledger.holders(program, entryLog.holder)
 }
 
-// ExpiredKeys returns the keys of the entries of ended programs among all records of a
-// partition. The entries of a program expire together: without some of them, too few of
-// its tokens would count as allocated.
-func ExpiredKeys(records []store.Record, now time.Time) []string {
-	keys, newest := make(map[string][]string), make(map[string]int64)
-	for _, record := range records {
-		var decoded entry
-		if err := codec.Unmarshal(record.Value, &decoded); err != nil {
-			continue
-		}
-		keys[decoded.Program] = append(keys[decoded.Program], record.Key)
-		newest[decoded.Program] = max(newest[decoded.Program], decoded.Written)
-	}
-	var expired []string
-	for program, written := range newest {
-		if now.Sub(time.UnixMilli(written)) > programRetention {
-			expired = append(expired, keys[program]...)
-		}
-	}
-	return expired
-}
-
 // evict removes ended programs from the ledgers in memory. A program without recent
 // entries may have newer ones that have not been read, so its age is that of the last
 // read.
--- a/internal/budget/protocol_test.go
+++ b/internal/budget/protocol_test.go
@@ -216,7 +216,7 @@
 	cluster.store.mutex.Lock()
 	defer cluster.store.mutex.Unlock()
 	records := cluster.store.records[0]
-	expired := ExpiredKeys(records, cluster.clock.Now())
+	expired := expiredKeys(records, cluster.clock.Now())
 	for index, record := range records {
 		if slices.Contains(expired, record.Key) {
 			records[index].Value = nil
--- a/internal/budget/wall_clock_test.go
+++ b/internal/budget/wall_clock_test.go
@@ -30,11 +30,11 @@
 			ledger.apply(entry)
 			clock.Jump(reader - writer)
 			clock.Advance(used)
-			is.Equal(len(ExpiredKeys(records, clock.Now())), 0)
+			is.Equal(len(expiredKeys(records, clock.Now())), 0)
 			ledger.evict(clock.Now().Add(-programRetention))
 			is.Equal(ledger.allocated("p"), 10)
 			clock.Advance(programRetention - used + hostclock.Tolerance + time.Second)
-			is.Equal(len(ExpiredKeys(records, clock.Now())), 1) // does not stay for ever
+			is.Equal(len(expiredKeys(records, clock.Now())), 1) // does not stay for ever
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 	gateway.self = gateway.mesh.Self()
 	gateway.store = store.NewFailover(gateway.directStore, gateway.mesh.Relays, clock, logger)
 	gateway.writer = store.NewWriter(gateway.ctx, gateway.store, clock, logger, gateway.self.Incarnation)
-	gateway.expirer = store.NewExpirer(gateway.writer, clock, logger)
+	gateway.expirer = store.NewExpirer(gateway.writer, clock, logger, gateway.metrics)
 	partitions := settings.Store.Partitions
 	gateway.allocator = budget.NewAllocator(budget.Dependencies{
 		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Metrics: gateway.metrics, Holder: gateway.self.Incarnation,
@@ -244,7 +244,7 @@
 	go worker.Every(ctx, gateway.clock, memoryInterval, gateway.observeMemory)
 	go worker.Every(ctx, gateway.clock, wallClockInterval, newWallClockMonitor(gateway.clock, gateway.logger, gateway.metrics).check)
 	go gateway.expirer.Run(ctx)
-	go worker.Every(ctx, gateway.clock, sweepInterval, gateway.sweepExpired)
+	go worker.Every(ctx, gateway.clock, sweepInterval, gateway.sweepDelayed)
 	if err := gateway.callerServer.listen(gateway.settings.CallerAddress); err != nil {
 		return fmt.Errorf("listen for callers on %q: %w", gateway.settings.CallerAddress, err)
 	}
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -2,25 +2,19 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/apex/log"
 
-	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/codec"
-	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/mesh"
-	"github.com/godwitspread/godwitspread/internal/origin"
 	"github.com/godwitspread/godwitspread/internal/outbound"
 	"github.com/godwitspread/godwitspread/internal/placement"
-	"github.com/godwitspread/godwitspread/internal/region"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
 
 const (
 	evictInterval          = 2 * time.Second
-	sweepInterval          = 90 * time.Second // turns expire after about a minute
 	isolationCheckInterval = 100 * time.Millisecond
 	listingTimeout         = 500 * time.Millisecond // for the entries of all hosts, before this host writes its own
 	accountInterval        = 100 * time.Millisecond // between searches for quota accounts that another host coordinates now
@@ -120,33 +114,6 @@
 	return limits
 }
 
-// sweepExpired deletes expired records of budgets, turns and streams from the store.
-// The coordinator of a partition's name sweeps the partition, so that the other
-// hosts do not repeat its work. A topic of turns with home regions is left to hosts there,
-// because a sweep reads the texts.
-func (gateway *Gateway) sweepExpired() {
-	type sweptTopic struct {
-		name       string
-		constraint *region.Constraint
-		expired    func([]store.Record, time.Time) []string
-	}
-	topics := []sweptTopic{{budget.Topic, nil, budget.ExpiredKeys}, {history.Topic, nil, history.ExpiredKeys}, {origin.Topic, nil, origin.ExpiredKeys}}
-	for _, constraint := range gateway.histories.Confined() {
-		topics = append(topics, sweptTopic{history.TopicOf(constraint), constraint, history.ExpiredKeys})
-	}
-	for _, topic := range topics {
-		for partition := range gateway.settings.Store.Partitions {
-			if !gateway.mesh.CoordinatesWithin(topic.constraint, fmt.Sprintf("%s/%d", topic.name, partition)) {
-				continue
-			}
-			expired := func(records []store.Record) []string { return topic.expired(records, gateway.clock.Now()) }
-			if err := gateway.expirer.Sweep(region.NewContext(gateway.ctx, topic.constraint), gateway.store, topic.name, partition, expired); err != nil && gateway.ctx.Err() == nil {
-				gateway.logger.WithError(err).WithFields(log.Fields{"topic": topic.name, "part": partition}).Warn("sweeping expired records from a partition failed")
-			}
-		}
-	}
-}
-
 // checkIsolation updates the unreachable data centres, and detects when this host,
 // alone or with its data centre, is isolated: it reaches neither the store nor
 // any other data centre.
--- a/internal/gateway/target_log.go
+++ b/internal/gateway/target_log.go
@@ -62,12 +62,13 @@
 
 // read returns the newest part of the log that should cover a window of time.
 func (targetLog *targetLog) read(ctx context.Context, window time.Duration) ([]store.Record, error) {
-	entries, end, err := store.ListAll(ctx, targetLog.store, platform.TargetTopic, 0)
+	entries := 0
+	end, err := store.Scan(ctx, targetLog.store, platform.TargetTopic, 0, func(page []store.Record) { entries += len(page) })
 	if err != nil {
 		return nil, err
 	}
 	reports := int64(heartbeatMargin*float64(window)/float64(max(targetLog.heartbeat, time.Millisecond))) + 2
-	from := max(0, end-logRecordsPerReport*reports*int64(len(entries)))
+	from := max(0, end-logRecordsPerReport*reports*int64(entries))
 	var records []store.Record
 	for range maxLogReads {
 		page, err := targetLog.store.Read(ctx, store.Read{Topic: platform.TargetTopic, From: from})
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -12,8 +12,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/godwitspread/godwitspread/internal/budget"
-	"github.com/godwitspread/godwitspread/internal/codec"
-	"github.com/godwitspread/godwitspread/internal/hostclock"
 	"github.com/godwitspread/godwitspread/internal/memory"
 	"github.com/godwitspread/godwitspread/internal/region"
 	"github.com/godwitspread/godwitspread/internal/store"
@@ -23,40 +21,6 @@
 // that names its root. Turns with home regions have topics of their own; see TopicOf.
 const Topic = "turns"
 
-// continuationGrace is how long a chain outlives its expiry, because a turn that
-// continues it may be running when it expires. A turn runs for at most 30 s.
-const continuationGrace = 30 * time.Second
-
-// ExpiredKeys returns the keys of the expired chains among the records of a
-// partition. A chain expires with its newest turn. Other hosts have stored the turns by
-// their own clocks, so that a chain is deleted later by the tolerance for these.
-func ExpiredKeys(records []store.Record, now time.Time) []string {
-	expiries := make(map[string]time.Time) // by root of the chain
-	for _, record := range records {
-		if root, ok := rootInKey(record.Key); ok && !isChunkKey(record.Key) {
-			var turn Turn
-			if err := codec.Unmarshal(record.Value, &turn); err != nil {
-				// An unreadable turn is ignored; the other turns of the chain decide.
-				continue
-			}
-			if expiry := turn.expiresAt(); expiry.After(expiries[root]) {
-				expiries[root] = expiry
-			}
-		}
-	}
-	var keys []string
-	for _, record := range records {
-		root, ok := rootInKey(record.Key)
-		if !ok {
-			root = keyComponent(string(record.Value))
-		}
-		if now.After(expiries[root].Add(continuationGrace + hostclock.Tolerance)) {
-			keys = append(keys, record.Key)
-		}
-	}
-	return keys
-}
-
 // ErrNotDurable reports that a turn cannot be stored now.
 var ErrNotDurable = errors.New("store is unreachable, so the turn cannot be stored")
 
--- a/internal/history/histories_test.go
+++ b/internal/history/histories_test.go
@@ -86,7 +86,7 @@
 	records = append(records, record("b", "b2", 111*time.Second)...)
 	records = append(records, record("c", "c", 61*time.Second)...)  // a turn that continues it may still be running
 	records = append(records, record("d", "d", 109*time.Second)...) // the same, if the clocks of two hosts differ by 20 s
-	is.Equal(ExpiredKeys(records, now), []string{"t/b/b", "i/b", "t/b/b2", "i/b2"})
+	is.Equal(expiredKeys(records, now), []string{"t/b/b", "i/b", "t/b/b2", "i/b2"})
 }
 
 // TestKeyBefore checks that a listing after the returned key starts with the
--- a/internal/history/record_test.go
+++ b/internal/history/record_test.go
@@ -90,8 +90,8 @@
 	for key, value := range memory.newest {
 		records = append(records, store.Record{Key: key, Value: value})
 	}
-	is.Equal(len(ExpiredKeys(records, time.Now())), 0)
-	is.Equal(len(ExpiredKeys(records, time.Now().Add(time.Hour))), len(records))
+	is.Equal(len(expiredKeys(records, time.Now())), 0)
+	is.Equal(len(expiredKeys(records, time.Now().Add(time.Hour))), len(records))
 }
 
 // TestAnyID guards against IDs that collide or break the format of keys: callers
@@ -115,7 +115,7 @@
 		for key, value := range memory.newest {
 			records = append(records, store.Record{Key: key, Value: value})
 		}
-		is.Equal(len(ExpiredKeys(records, time.Now())), 0)
+		is.Equal(len(expiredKeys(records, time.Now())), 0)
 		_, _, err = memory.newHistories(t).Transcript(context.Background(), "p", "w", first+"?", unbounded)
 		is.True(first+"?" == second || errors.Is(err, ErrNoTurn))
 	})
--- a/internal/history/wall_clock_test.go
+++ b/internal/history/wall_clock_test.go
@@ -43,7 +43,7 @@
 		records := []store.Record{{Key: turnPrefix + "a/a", Value: value}, {Key: rootPrefix + "a", Value: []byte("a")}}
 		clock.Jump(test.sweeper - test.writer)
 		clock.Advance(test.age)
-		is.Equal(len(ExpiredKeys(records, clock.Now())) == 0, test.kept) // test.name
+		is.Equal(len(expiredKeys(records, clock.Now())) == 0, test.kept) // test.name
 	}
 }
 
--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -97,12 +97,21 @@
 	if !partition.listedAt.IsZero() && now.Sub(partition.listedAt) < archiveListAge {
 		return Origin{}, false
 	}
-	records, _, err := store.ListAll(ctx, archive.store, Topic, number)
+	origins := make(map[string]Origin)
+	_, err := store.Scan(ctx, archive.store, Topic, number, func(records []store.Record) {
+		archive.decode(records, now, origins)
+	})
 	if err != nil {
 		archive.logger.WithError(err).WithField("attempt", key.Attempt).Info("origins of streams could not be read")
 		return Origin{}, false
 	}
-	partition.listedAt, partition.origins = now, make(map[string]Origin, len(records))
+	partition.listedAt, partition.origins = now, origins
+	found, ok := partition.origins[name]
+	return found, ok
+}
+
+// decode adds the origins of a page that have not expired.
+func (archive *Archive) decode(records []store.Record, now time.Time, origins map[string]Origin) {
 	for _, record := range records {
 		var decoded archivedOrigin
 		if err := codec.Unmarshal(record.Value, &decoded); err != nil {
@@ -110,21 +119,28 @@
 			continue
 		}
 		if !decoded.expired(now) {
-			partition.origins[record.Key] = decoded.Origin
+			origins[record.Key] = decoded.Origin
 		}
 	}
-	found, ok := partition.origins[name]
-	return found, ok
 }
 
-// ExpiredKeys returns the keys of the origins whose streams nobody resumes any more.
-func ExpiredKeys(records []store.Record, now time.Time) []string {
-	var keys []string
-	for _, record := range records {
-		var decoded archivedOrigin
-		if err := codec.Unmarshal(record.Value, &decoded); err != nil || decoded.expired(now) {
-			keys = append(keys, record.Key)
-		}
+// Expiry implements store.Expiry for the origins of streams that nobody resumes any more.
+type Expiry struct{ now time.Time }
+
+// NewExpiry returns the expiry of origins at a time.
+func NewExpiry(now time.Time) *Expiry { return &Expiry{now} }
+
+// Add implements store.Expiry. It selects origins that cannot be decoded as well.
+func (expiry *Expiry) Add(record store.Record) []string {
+	var decoded archivedOrigin
+	if err := codec.Unmarshal(record.Value, &decoded); err != nil || decoded.expired(expiry.now) {
+		return []string{record.Key}
 	}
-	return keys
+	return nil
 }
+
+// Finish implements store.Expiry.
+func (*Expiry) Finish() []string { return nil }
+
+// Deferred implements store.Expiry.
+func (*Expiry) Deferred() int { return 0 }
--- a/internal/origin/archive_test.go
+++ b/internal/origin/archive_test.go
@@ -57,8 +57,8 @@
 		clock.Jump(test.reader - test.writer)
 		clock.Advance(test.age)
 		_, found := archive.Find(context.Background(), key)
-		is.Equal(found, test.found)                                       // test.name
-		is.Equal(len(ExpiredKeys(records, clock.Now())) == 0, test.found) // test.name
+		is.Equal(found, test.found)                                            // test.name
+		is.Equal(len(NewExpiry(clock.Now()).Add(records[0])) == 0, test.found) // test.name
 	}
 }
 
--- a/internal/store/expiry.go
+++ b/internal/store/expiry.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/worker"
 )
 
@@ -20,9 +21,10 @@
 // Expirer deletes keys that are no longer needed: keys that this host has
 // scheduled for deletion, and keys that Sweep finds in a partition.
 type Expirer struct {
-	writer *Writer
-	clock  clockwork.Clock
-	logger log.Interface
+	writer  *Writer
+	clock   clockwork.Clock
+	logger  log.Interface
+	metrics *metric.Metrics
 
 	mutex sync.Mutex
 	keys  []scheduledKey // in the order in which they were scheduled
@@ -36,8 +38,8 @@
 }
 
 // NewExpirer returns an expirer that deletes keys through the given writer.
-func NewExpirer(writer *Writer, clock clockwork.Clock, logger log.Interface) *Expirer {
-	return &Expirer{writer: writer, clock: clock, logger: logger}
+func NewExpirer(writer *Writer, clock clockwork.Clock, logger log.Interface, metrics *metric.Metrics) *Expirer {
+	return &Expirer{writer: writer, clock: clock, logger: logger, metrics: metrics}
 }
 
 // DeleteAfter schedules the deletion of keys after a delay. If too many keys are
@@ -87,23 +89,3 @@
 		records = records[size:]
 	}
 }
-
-// Sweep deletes the keys of a partition that expiredKeys selects from all its
-// records.
-func (expirer *Expirer) Sweep(ctx context.Context, store Store, topic string, partition int, expiredKeys func([]Record) []string) error {
-	records, _, err := ListAll(ctx, store, topic, partition)
-	if err != nil {
-		return err
-	}
-	keys := expiredKeys(records)
-	if len(keys) == 0 {
-		return nil
-	}
-	deletions := make([]Record, 0, len(keys))
-	for _, key := range keys {
-		deletions = append(deletions, Record{Key: key})
-	}
-	expirer.logger.WithFields(log.Fields{"topic": topic, "part": partition, "keys": len(keys)}).Info("deleting expired keys")
-	expirer.enqueue(partitionID{topic, partition}, deletions)
-	return nil
-}
--- a/internal/store/expiry_test.go
+++ b/internal/store/expiry_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+
+	"github.com/godwitspread/godwitspread/internal/metric"
 )
 
 // TestExpiry guards against keys that are deleted before they are due, and
@@ -18,7 +20,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clock := clockwork.NewFakeClock()
-	expirer := NewExpirer(NewWriter(ctx, store, clockwork.NewRealClock(), discardLogger, "h/1"), clock, discardLogger)
+	expirer := NewExpirer(NewWriter(ctx, store, clockwork.NewRealClock(), discardLogger, "h/1"), clock, discardLogger, metric.Discard())
 	for number := range 700 {
 		expirer.DeleteAfter("t", 0, time.Minute, fmt.Sprint(number))
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,9 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
-	"unicode/utf8"
 )
 
 // Record is a key with its value. A record without a value deletes its key.
@@ -98,40 +96,3 @@
 	var sequenceError *SequenceError
 	return err == nil || errors.Is(err, ErrTrimmed) || errors.Is(err, ErrFull) || errors.Is(err, ErrInvalid) || errors.As(err, &sequenceError)
 }
-
-// ListAll returns the newest record of each key of a partition, and the offset
-// from which to read on. Records at or after that offset may be in the list
-// already.
-func ListAll(ctx context.Context, store Store, topic string, partition int) ([]Record, int64, error) {
-	var records []Record
-	var end int64
-	after := ""
-	for first := true; ; first = false {
-		listing, err := store.List(ctx, List{Topic: topic, Partition: partition, After: after})
-		if err != nil {
-			return nil, 0, err
-		}
-		if first {
-			end = listing.End
-		}
-		records = append(records, listing.Records...)
-		if !listing.More || len(listing.Records) == 0 {
-			return records, end, nil
-		}
-		next := pageEnd(listing.Records[len(listing.Records)-1].Key)
-		if next == after {
-			return nil, 0, fmt.Errorf("listing of topic %q does not go on after key %q", topic, after)
-		}
-		after = next
-	}
-}
-
-// pageEnd returns the key after which a listing continues. A key that is not UTF-8 does
-// not survive the encoding of a page, so the listing continues after all keys that
-// differ in the replaced bytes only.
-func pageEnd(last string) string {
-	if prefix, _, replaced := strings.Cut(last, string(utf8.RuneError)); replaced {
-		return prefix + "\xff\xff\xff\xff"
-	}
-	return last
-}
--- a/internal/store/wall_clock_test.go
+++ b/internal/store/wall_clock_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/godwitspread/godwitspread/internal/hostclock/clocktest"
+	"github.com/godwitspread/godwitspread/internal/metric"
 )
 
 // TestConfirmAfterJump guards against taking records for current that were read before the
@@ -60,7 +61,7 @@
 func TestDeletionsAfterJump(t *testing.T) {
 	is := is.New(t)
 	clock := clocktest.New()
-	expirer := NewExpirer(nil, clock, &log.Logger{Handler: memory.New()})
+	expirer := NewExpirer(nil, clock, &log.Logger{Handler: memory.New()}, metric.Discard())
 	expirer.DeleteAfter("t", 0, 9*time.Second, "a")
 	clock.Jump(10 * time.Second)
 	clock.Advance(8 * time.Second)
