Load the entries of budgets in the background

Cause: a partition was listed under the context of the request that came first. When the request ended, the pages were thrown away and the next one began again. A coordinator that listed did not respond within 300 ms, so that every host listed every partition itself, and all of them were too slow together.

Change: a load belongs to the host and goes on page by page when the request that waits for it ends; failed pages are repeated with a delay. A host loads two partitions at a time, and holds one page and the entries of one program of each; a load that nobody waits for any more does not begin. A coordinator that is loading says so (ReservationResponse.Loading) and has reserved nothing; its host asks again for up to 1 s, and then refuses with a Retry-After, in place of loading as well. Hosts of an older build get an error as before. A host that is asked to release a budget writes its entry without loading the partition.

--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -61,6 +61,7 @@
 
 // Dependencies are the dependencies of an allocator.
 type Dependencies struct {
+	Context    context.Context // ends with the host; by default it never does
 	Store      store.Store
 	Writer     *store.Writer
 	Clock      clockwork.Clock
@@ -269,7 +270,7 @@
 	if len(entry.Charges) == 0 {
 		return 0, nil
 	}
-	if err := allocator.entryLog.write(ctx, entry); err != nil {
+	if err := allocator.entryLog.writeOnly(ctx, entry); err != nil {
 		return 0, err
 	}
 	return returned, nil
--- a/internal/budget/entrylog.go
+++ b/internal/budget/entrylog.go
@@ -24,7 +24,8 @@
 	reading chan struct{} // has room for the one read of the store in progress
 	mutex   sync.Mutex    // protects the fields below; never held during calls of the store
 	ledger  *ledger
-	next    int64     // offset of the next read; negative if the partition must be listed first
+	next    int64     // offset of the next read; negative if the partition must be loaded first
+	loading *load     // the load in progress, if any
 	readAt  time.Time // all entries written before are in the ledger
 	// confirmedAt is like readAt, by the clock that counts suspended time.
 	confirmedAt time.Duration
@@ -33,6 +34,7 @@
 // entryLog appends this host's entries to the store and folds the entries of all
 // hosts.
 type entryLog struct {
+	ctx        context.Context // of the host
 	store      store.Store
 	writer     *store.Writer
 	clock      clockwork.Clock
@@ -40,6 +42,7 @@
 	metrics    *metric.Metrics
 	holder     string
 	partitions []*partition
+	loads      chan struct{} // has an element for each load in progress
 	// credit is called once for each entry of this host when it is read back,
 	// even if the request that appended it has given up.
 	credit func(entry entry, granted int)
@@ -54,9 +57,13 @@
 
 func newEntryLog(dependencies Dependencies, credit func(entry entry, granted int)) *entryLog {
 	entryLog := &entryLog{
+		ctx: dependencies.Context, loads: make(chan struct{}, maxLoads),
 		store: dependencies.Store, writer: dependencies.Writer, clock: dependencies.Clock, logger: dependencies.Logger, metrics: dependencies.Metrics, holder: dependencies.Holder, credit: credit,
 		pending: make(map[int64]bool), revoke: func(string, HoldID) {}, bootTime: dependencies.BootTime,
 	}
+	if entryLog.ctx == nil {
+		entryLog.ctx = context.Background()
+	}
 	if entryLog.bootTime == nil {
 		start := dependencies.Clock.Now()
 		entryLog.bootTime = func() time.Duration { return dependencies.Clock.Since(start) }
@@ -78,6 +85,16 @@
 
 // write appends an entry to the store and reads it back.
 func (entryLog *entryLog) write(ctx context.Context, entry entry) error {
+	return entryLog.append(ctx, entry, true)
+}
+
+// writeOnly appends an entry to the store. It reads the entry back only if its partition has
+// been loaded; otherwise the load does.
+func (entryLog *entryLog) writeOnly(ctx context.Context, entry entry) error {
+	return entryLog.append(ctx, entry, entryLog.loaded(entry.Program))
+}
+
+func (entryLog *entryLog) append(ctx context.Context, entry entry, readBack bool) error {
 	number := entryLog.partitionOf(entry.Program)
 	record, serial, err := entryLog.record(entry)
 	if err != nil {
@@ -95,7 +112,7 @@
 		}
 		return err
 	}
-	if entryLog.foldNext(number, record, start) {
+	if entryLog.foldNext(number, record, start) || !readBack {
 		return nil
 	}
 	return entryLog.readThrough(ctx, number, record.Offset)
@@ -226,14 +243,14 @@
 	return partition.next
 }
 
-// readPage folds the next page of a partition, or lists the partition if its
-// next offset is unknown or trimmed. The caller must have begun a read.
+// readPage folds the next page of a partition, or waits for the load of the
+// partition if its next offset is unknown or trimmed. The caller must have begun a read.
 func (entryLog *entryLog) readPage(ctx context.Context, number int, offset int64) error {
 	partition := entryLog.partitions[number]
 	start, bootTime := entryLog.clock.Now(), entryLog.bootTime()
 	from := partition.nextOffset()
 	if from < 0 {
-		return entryLog.reload(ctx, number)
+		return entryLog.awaitLoad(ctx, number)
 	}
 	page, err := entryLog.store.Read(ctx, store.Read{Topic: Topic, Partition: number, From: from})
 	partition.mutex.Lock()
@@ -263,24 +280,6 @@
 	entryLog.logger.WithError(err).WithFields(log.Fields{"key": record.Key, "offset": record.Offset}).Warn("entry of a budget cannot be decoded; skipping it")
 }
 
-// reload replaces the ledger of a partition by one of the newest record of each
-// key. The caller must have begun a read.
-func (entryLog *entryLog) reload(ctx context.Context, number int) error {
-	start, bootTime := entryLog.clock.Now(), entryLog.bootTime()
-	records, end, err := store.ListAll(ctx, entryLog.store, Topic, number)
-	if err != nil {
-		return err
-	}
-	partition := entryLog.partitions[number]
-	partition.mutex.Lock()
-	defer partition.mutex.Unlock()
-	fresh := newLedger()
-	fresh.fold(records, 0, end, entryLog.visit, entryLog.skip)
-	partition.ledger, partition.next = fresh, end
-	partition.readAt, partition.confirmedAt = start, max(partition.confirmedAt, bootTime)
-	return nil
-}
-
 // visit credits an entry of this host the first time that it is read, and takes the holds
 // of this host that another one has revoked or given back.
 func (entryLog *entryLog) visit(entry entry, granted int) {
--- a/internal/budget/expiry.go
+++ b/internal/budget/expiry.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"strings"
 	"time"
 
 	"github.com/godwitspread/godwitspread/internal/codec"
@@ -38,7 +37,7 @@
 	if err := codec.Unmarshal(record.Value, &decoded); err != nil {
 		return expiry.take()
 	}
-	program, _ := expiry.programs.At(groupOf(decoded.Program, record.Key))
+	program, _ := expiry.programs.At(keyPrefix(record.Key))
 	program.newest = max(program.newest, decoded.Written)
 	if len(program.keys) < store.MaxGroupKeys {
 		program.keys = append(program.keys, record.Key)
@@ -75,12 +74,3 @@
 func hasEnded(written int64, now time.Time) bool {
 	return now.Sub(time.UnixMilli(written)) > programRetention
 }
-
-// groupOf returns the prefix of the keys of a program's entries. An entry under a key of
-// another form is on its own.
-func groupOf(program, key string) string {
-	if prefix := program + "|"; strings.HasPrefix(key, prefix) {
-		return prefix
-	}
-	return key
-}
--- a/internal/budget/reserver.go
+++ b/internal/budget/reserver.go
@@ -55,12 +55,15 @@
 type ReservationRequest struct {
 	ID    string `msgpack:"i"` // of the reservation
 	Claim Claim  `msgpack:"c"`
+	// AwaitsLoad says that the host understands ReservationResponse.Loading.
+	AwaitsLoad bool `msgpack:"w,omitempty"`
 }
 
 // ReservationResponse is the coordinator's response to a reservation request.
 type ReservationResponse struct {
 	Spent      bool    `msgpack:"s,omitempty"` // the rest of the budget is less than the claimed tokens
 	NotStarted bool    `msgpack:"n,omitempty"`
+	Loading    bool    `msgpack:"w,omitempty"` // nothing is reserved, because the coordinator has not loaded the entries yet
 	Hold       *HoldID `msgpack:"d,omitempty"` // of the reserved tokens in the store
 
 	Locations []locality.Location `msgpack:"l,omitempty"` // of the latest turns of the program
@@ -76,7 +79,15 @@
 	Location  *locality.Location `msgpack:"l,omitempty"` // of the turn
 }
 
-const settlementMargin = 2 * time.Second // for a settlement in transit
+const (
+	settlementMargin = 2 * time.Second        // for a settlement in transit
+	loadWait         = 150 * time.Millisecond // for one request; half of the time in which a coordinator must respond
+	maxLoadWait      = time.Second            // after which a caller is refused while the entries of its budget are loaded
+)
+
+// errCoordinatorLoading reports that the coordinator has reserved nothing, because it
+// has not loaded the entries of the budget yet.
+var errCoordinatorLoading = errors.New("coordinator loads the entries of the budget")
 
 // Reserver reserves tokens at the coordinator of each program, or on this host
 // if the coordinator does not respond.
@@ -105,39 +116,76 @@
 }
 
 // Reserve reserves tokens for a turn. The caller must settle the reservation with the
-// number of tokens that the turn has generated.
+// number of tokens that the turn has generated. The error wraps ErrLoading if the host that
+// counts the budget has not loaded it in time.
 func (reserver *Reserver) Reserve(ctx context.Context, claim Claim) (*Reservation, error) {
+	giveUpAt := reserver.clock.Now().Add(maxLoadWait)
+	for {
+		reservation, err := reserver.reserveAtCoordinator(ctx, claim)
+		if !errors.Is(err, errCoordinatorLoading) {
+			return reservation, err
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		if !reserver.clock.Now().Before(giveUpAt) {
+			return nil, ErrLoading
+		}
+	}
+}
+
+// reserveAtCoordinator reserves tokens at the coordinator of the program, or on this host if
+// the coordinator does not respond. It returns errCoordinatorLoading if the coordinator,
+// which may have changed since, loads the budget.
+func (reserver *Reserver) reserveAtCoordinator(ctx context.Context, claim Claim) (*Reservation, error) {
 	address, self := reserver.coordinators.BudgetCoordinator(reserver.allocator.entryLog.partitionName(claim.Program))
-	if !self {
-		id := reserver.allocator.entryLog.holder + "/" + strconv.FormatInt(reserver.nextSerial(), 36)
-		settlement := Settlement{Program: claim.Program, ID: id}
-		response, err := reserver.coordinators.Reserve(ctx, address, ReservationRequest{ID: id, Claim: claim})
-		switch {
-		case err == nil && response.Spent:
-			return nil, ErrSpent
-		case err == nil && response.NotStarted:
-			return nil, ErrNotStarted
-		case err == nil:
-			reservation := &Reservation{locations: response.Locations}
-			reservation.settle = func(used int) {
-				settlement.Used, settlement.Location = used, reservation.location
-				reserver.coordinators.Settle(address, settlement)
-			}
-			if response.Hold != nil {
-				reservation.hold = *response.Hold
-			}
-			return reservation, nil
+	if self {
+		switch err := reserver.allocator.awaitLoaded(ctx, claim.Program, loadWait); {
+		case errors.Is(err, ErrLoading):
+			return nil, errCoordinatorLoading
+		case err != nil:
+			return nil, err
+		}
+		return reserver.reserveHere(ctx, claim)
+	}
+	id := reserver.allocator.entryLog.holder + "/" + strconv.FormatInt(reserver.nextSerial(), 36)
+	settlement := Settlement{Program: claim.Program, ID: id}
+	response, err := reserver.coordinators.Reserve(ctx, address, ReservationRequest{ID: id, Claim: claim, AwaitsLoad: true})
+	switch {
+	case err == nil && response.Loading:
+		return nil, errCoordinatorLoading
+	case err == nil && response.Spent:
+		return nil, ErrSpent
+	case err == nil && response.NotStarted:
+		return nil, ErrNotStarted
+	case err == nil:
+		reservation := &Reservation{locations: response.Locations}
+		reservation.settle = func(used int) {
+			settlement.Used, settlement.Location = used, reservation.location
+			reserver.coordinators.Settle(address, settlement)
 		}
-		// The coordinator may have reserved the tokens, or may still do so.
-		settlement.Abandoned = true
-		reserver.coordinators.Settle(address, settlement)
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
+		if response.Hold != nil {
+			reservation.hold = *response.Hold
 		}
-		reserver.metrics.CountRetry("budget_home_lost")
-		claim.abandoned = id
-		claim.StartedOnly = false // only the coordinator knows whether the program has started
+		return reservation, nil
+	}
+	// The coordinator may have reserved the tokens, or may still do so.
+	settlement.Abandoned = true
+	reserver.coordinators.Settle(address, settlement)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	reserver.metrics.CountRetry("budget_home_lost")
+	if err := reserver.allocator.awaitLoaded(ctx, claim.Program, maxLoadWait); err != nil {
+		return nil, err
 	}
+	claim.abandoned = id
+	claim.StartedOnly = false // only the coordinator knows whether the program has started
+	return reserver.reserveHere(ctx, claim)
+}
+
+// reserveHere reserves tokens from the allocation of this host.
+func (reserver *Reserver) reserveHere(ctx context.Context, claim Claim) (*Reservation, error) {
 	locations := reserver.findLocations(ctx, claim)
 	reservation, err := reserver.reserveLocally(ctx, claim)
 	if err != nil {
@@ -164,6 +212,12 @@
 func (reserver *Reserver) HandleReserve(ctx context.Context, request ReservationRequest) (ReservationResponse, error) {
 	claim := request.Claim
 	claim.request = request.ID
+	switch err := reserver.allocator.awaitLoaded(ctx, claim.Program, loadWait); {
+	case request.AwaitsLoad && errors.Is(err, ErrLoading):
+		return ReservationResponse{Loading: true}, nil
+	case err != nil:
+		return ReservationResponse{}, err
+	}
 	locations := reserver.findLocations(ctx, claim)
 	reservation, err := reserver.reserveLocally(ctx, claim)
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,7 +139,7 @@
 	gateway.expirer = store.NewExpirer(gateway.writer, clock, logger, gateway.metrics)
 	partitions := settings.Store.Partitions
 	gateway.allocator = budget.NewAllocator(budget.Dependencies{
-		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Metrics: gateway.metrics, Holder: gateway.self.Incarnation,
+		Context: gateway.ctx, Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Metrics: gateway.metrics, Holder: gateway.self.Incarnation,
 		Partitions: partitions, Recall: gateway.mesh.Recall, HolderState: gateway.mesh.HolderState, Reachable: gateway.store.Reachable,
 		BootTime: func() time.Duration { return hostclock.Uptime(clock) },
 	})
