Count a path to the store as failed only if it does not respond

Cause: a path failed when a response had not ended after 250 ms or six mean latencies, and when the caller of a call gave up 120 ms after its begin. A page of a megabyte takes longer on a link of 30 Mbit/s, and many requests give up.

Change: the client of the store reports the begin of a response. From then on a call neither stalls nor is repeated on the next path, and a page of a scan gets 2 s more. A caller that gives up says nothing of the path; one that does not begin to respond fails after the same time as before.

--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -68,6 +68,6 @@
 
 // List implements store.Store.
 func (relayedStore *relayedStore) List(ctx context.Context, list store.List) (store.Listing, error) {
-	response, err := relayedStore.call(ctx, 0, methodList, list)
+	response, err := relayedStore.call(ctx, list.Patience(), methodList, list)
 	return response.Listing, err
 }
--- a/internal/store/failover.go
+++ b/internal/store/failover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -95,80 +94,17 @@
 
 // Append implements Store.
 func (failover *Failover) Append(ctx context.Context, batch Append) (int64, error) {
-	return callPaths(ctx, failover, 0, func(ctx context.Context, store Store) (int64, error) { return store.Append(ctx, batch) })
+	return callPaths(ctx, failover, patience{}, func(ctx context.Context, store Store) (int64, error) { return store.Append(ctx, batch) })
 }
 
 // Read implements Store.
 func (failover *Failover) Read(ctx context.Context, read Read) (Page, error) {
-	return callPaths(ctx, failover, read.Wait, func(ctx context.Context, store Store) (Page, error) { return store.Read(ctx, read) })
+	return callPaths(ctx, failover, patience{begin: read.Wait}, func(ctx context.Context, store Store) (Page, error) { return store.Read(ctx, read) })
 }
 
 // List implements Store.
 func (failover *Failover) List(ctx context.Context, list List) (Listing, error) {
-	return callPaths(ctx, failover, 0, func(ctx context.Context, store Store) (Listing, error) { return store.List(ctx, list) })
-}
-
-// callResult is the result of a call on one path.
-type callResult[T any] struct {
-	value  T
-	err    error
-	direct bool
-}
-
-// callPaths calls the paths in order until one responds. It calls the next path
-// when a path fails, or when no path has responded after a delay and the next one
-// is fast.
-func callPaths[T any](ctx context.Context, failover *Failover, wait time.Duration, call func(context.Context, Store) (T, error)) (T, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	start := failover.clock.Now()
-	results := make(chan callResult[T], maxPaths)
-	constraint := region.FromContext(ctx)
-	paths := failover.paths(constraint)
-	tried, running := 0, 0
-	next := func() {
-		path := paths[tried]
-		tried++
-		running++
-		go func() {
-			value, err := callPath(ctx, failover, path, wait, call)
-			results <- callResult[T]{value, err, path == nil}
-		}()
-	}
-	next()
-	hedge := failover.clock.NewTimer(hedgeDelay + wait)
-	defer hedge.Stop()
-	var lastErr error
-	for running > 0 || tried < len(paths) {
-		if running == 0 {
-			next()
-		}
-		select {
-		case outcome := <-results:
-			running--
-			if IsResponse(outcome.err) {
-				failover.recordOutcome(true)
-				return outcome.value, outcome.err
-			}
-			lastErr = outcome.err
-		case <-hedge.Chan():
-			if tried < len(paths) && failover.mayHedge(paths[tried]) {
-				next()
-			}
-		case <-ctx.Done():
-			// A deadline shorter than a direct call may take is no sign of a failed store.
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) && failover.clock.Since(start) >= directTimeout && constraint == nil {
-				failover.recordOutcome(false)
-			}
-			var zero T
-			return zero, errors.Join(ctx.Err(), lastErr)
-		}
-	}
-	if constraint == nil { // else there may be paths that this call must not take
-		failover.recordOutcome(false)
-	}
-	var zero T
-	return zero, lastErr
+	return callPaths(ctx, failover, patience{end: list.Patience()}, func(ctx context.Context, store Store) (Listing, error) { return store.List(ctx, list) })
 }
 
 // maxPaths bounds the paths that one call tries.
@@ -230,33 +166,6 @@
 
 func (failover *Failover) mayHedge(path *Path) bool { return path == nil || path.Fast }
 
-func callPath[T any](ctx context.Context, failover *Failover, path *Path, wait time.Duration, call func(context.Context, Store) (T, error)) (T, error) {
-	if path != nil {
-		return call(ctx, path.Store)
-	}
-	limited, cancel := context.WithTimeout(ctx, directTimeout+wait)
-	defer cancel()
-	start := failover.clock.Now()
-	stallTimer := failover.clock.AfterFunc(wait+failover.stallTimeout(), func() { failover.recordDirectCall(start, errStalled) })
-	value, err := call(limited, failover.direct)
-	stallTimer.Stop()
-	switch {
-	case wait > 0 && err == nil:
-		failover.recordDirectPoll(start)
-	case ctx.Err() != nil && failover.clock.Since(start) < hedgeDelay:
-		// The caller cancelled early, which is no failure of the path.
-	case errors.Is(err, ErrMemory):
-		// The path has responded, or was not called.
-	default:
-		failover.recordDirectCall(start, err)
-	}
-	return value, err
-}
-
-// errStalled is recorded for a direct call that has not responded in time and is
-// still in flight.
-var errStalled = errors.New("no response yet")
-
 // stallTimeout returns how long a direct call may run before the direct path
 // counts as failed.
 func (failover *Failover) stallTimeout() time.Duration {
--- a/internal/store/scanner.go
+++ b/internal/store/scanner.go
@@ -19,7 +19,7 @@
 
 // NewScanner returns a scanner at the first key of a partition.
 func NewScanner(store Store, topic string, partition int) *Scanner {
-	return &Scanner{store: store, list: List{Topic: topic, Partition: partition}}
+	return &Scanner{store: store, list: List{Topic: topic, Partition: partition, Bulk: true}}
 }
 
 // Next returns the next page. After an error it may be called again for the same page.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,8 +50,20 @@
 	Topic     string `msgpack:"t"`
 	Partition int    `msgpack:"p,omitempty"`
 	After     string `msgpack:"a,omitempty"`
+	Bulk      bool   `msgpack:"-"` // one of many pages, for which no request waits for long
 }
 
+// Patience returns how much longer a listing may take than a short call. A page has up to a
+// megabyte, for which a small host needs a second beside its requests.
+func (list List) Patience() time.Duration {
+	if list.Bulk {
+		return bulkPatience
+	}
+	return 0
+}
+
+const bulkPatience = 2 * time.Second
+
 // Listing is the response to List, ordered by key.
 type Listing struct {
 	Records []Record `msgpack:"r,omitempty"`
