Read the turns of other programs with those of one from the store

Cause: all reads of the store share 80 MB a second. A listing returns up to a megabyte, of which a chain of turns needs a few records, so that the fleet gets some 75 chains a second from the store. Each host began as many listings at a time as it had requests; those that took too long were repeated, on other paths as well, and filled the store and the links further.

Change: a host caches the turns of other chains in a page, as far as there is memory without evicting others (history_neighbours_cached), also for the hosts that ask it. Two requests of a host read turns from the store at a time; the others wait (history_read_waits) and look again whether their turns are cached. Turns with home regions are read as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 	gateway.reserver = budget.NewReserver(gateway.allocator, gateway.mesh, clock, gateway.metrics)
 	gateway.histories = history.New(history.Dependencies{
 		Store: gateway.store, Writer: gateway.writer, Clock: clock, Logger: logger, Peers: gateway.mesh, Partitions: partitions,
-		Memory: gateway.memory, Reachable: gateway.store.ReachableIn,
+		Memory: gateway.memory, Metrics: gateway.metrics, Reachable: gateway.store.ReachableIn,
 		StoreLimits: history.StoreLimits{RecordBytes: settings.Store.MaxRecordBytes, AppendBytes: settings.Store.MaxAppendBytes},
 	})
 	gateway.targetTracker = newTargetTracker(clock, logger, gateway.metrics, gateway.registry, gateway.store.HealthySince)
--- a/internal/history/cache.go
+++ b/internal/history/cache.go
@@ -78,6 +78,22 @@
 	cache.byAge = append(cache.byAge, turn)
 }
 
+// putSpare caches a turn if there is memory without evicting others, and reports whether
+// there is.
+func (cache *turnCache) putSpare(turn *Turn) bool {
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	if _, known := cache.turns[turn.ID]; known {
+		return true
+	}
+	if cache.reserved.Grow(int64(turn.size())) != nil {
+		return false
+	}
+	cache.turns[turn.ID] = turn
+	cache.byAge = append(cache.byAge, turn)
+	return true
+}
+
 // evict evicts the oldest turns until it has released a number of bytes, or has none.
 func (cache *turnCache) evict(bytes int64) {
 	cache.mutex.Lock()
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -13,6 +12,7 @@
 
 	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/memory"
+	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/region"
 	"github.com/godwitspread/godwitspread/internal/store"
 )
@@ -54,6 +54,8 @@
 	cache      *turnCache
 	memory     *memory.Budget
 	confined   confinements
+	metrics    *metric.Metrics
+	reads      chan struct{} // has an element for each request that reads from the store
 }
 
 // StoreLimits are the size limits of the store, in bytes.
@@ -72,12 +74,18 @@
 	Partitions  int
 	Memory      *memory.Budget // of cached turns
 	StoreLimits StoreLimits
+	Metrics     *metric.Metrics                // nil to record none
 	Reachable   func(ctx context.Context) bool // reports whether the store can be called through hosts that the context allows
 }
 
 // New returns Histories with the given dependencies.
 func New(dependencies Dependencies) *Histories {
+	metrics := dependencies.Metrics
+	if metrics == nil {
+		metrics = metric.Discard()
+	}
 	return &Histories{
+		metrics: metrics, reads: make(chan struct{}, maxStoreReads),
 		store: dependencies.Store, writer: dependencies.Writer, clock: dependencies.Clock, logger: dependencies.Logger, peers: dependencies.Peers,
 		partitions: dependencies.Partitions, limits: dependencies.StoreLimits.withDefaults(), reachable: dependencies.Reachable, cache: newTurnCache(dependencies.Memory), memory: dependencies.Memory,
 	}
@@ -236,6 +244,18 @@
 	if err != nil {
 		return nil, err
 	}
+	if missing != "" {
+		if err := histories.beginRead(ctx); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotDurable, err)
+		}
+		defer histories.endRead()
+		// Another request may have read the chain meanwhile.
+		known := sizeOf(turns)
+		turns, missing = histories.cache.chain(id, loaded)
+		if err := reserve(max(0, sizeOf(turns)-known)); err != nil {
+			return nil, err
+		}
+	}
 	for attempts := 0; missing != "" && attempts < maxChainSegments; attempts++ {
 		source = "store"
 		if !histories.reachable(ctx) {
@@ -270,54 +290,3 @@
 // maxChainSegments limits the segments that fetch loads for one chain. A new
 // segment starts when a host stores a turn without having cached the previous one.
 const maxChainSegments = 8
-
-// load reads the segment of a chain that contains a turn from a topic of the store into the
-// cache, and adds its turns to the loaded ones.
-func (histories *Histories) load(ctx context.Context, topic, workspace, id string, loaded map[string]*Turn, reserve func(bytes int64) error) error {
-	partition := histories.partitionOf(workspace)
-	root, err := histories.rootOf(ctx, topic, partition, id)
-	if err != nil {
-		return err
-	}
-	chain := newChainReader(root)
-	for {
-		listing, err := histories.store.List(ctx, store.List{Topic: topic, Partition: partition, After: chain.after})
-		if err != nil {
-			return err
-		}
-		for _, record := range listing.Records {
-			if strings.HasPrefix(record.Key, chain.prefix) {
-				if err := reserve(int64(len(record.Value))); err != nil {
-					return err
-				}
-			}
-			if err := chain.read(record); err != nil {
-				return err
-			}
-		}
-		if !listing.More || chain.done {
-			break
-		}
-	}
-	now := histories.clock.Now()
-	for _, turn := range chain.turns {
-		histories.cache.put(turn, now)
-		loaded[turn.ID] = turn
-	}
-	return nil
-}
-
-// rootOf returns the ID of the first turn of the segment to which a turn belongs.
-func (histories *Histories) rootOf(ctx context.Context, topic string, partition int, id string) (string, error) {
-	key := rootPrefix + keyComponent(id)
-	listing, err := histories.store.List(ctx, store.List{Topic: topic, Partition: partition, After: keyBefore(key)})
-	if err != nil {
-		return "", err
-	}
-	for _, record := range listing.Records {
-		if record.Key == key {
-			return string(record.Value), nil
-		}
-	}
-	return "", ErrNoTurn
-}
--- /dev/null
+++ b/internal/history/read_test.go
@@ -0,0 +1,87 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/godwitspread/godwitspread/internal/memory"
+	"github.com/godwitspread/godwitspread/internal/store"
+)
+
+// countedStore counts listings, and those in progress at a time.
+type countedStore struct {
+	*memoryStore
+	mutex               sync.Mutex
+	listings            int
+	running, concurrent int
+}
+
+func (counted *countedStore) List(ctx context.Context, list store.List) (store.Listing, error) {
+	counted.mutex.Lock()
+	counted.listings++
+	counted.running++
+	counted.concurrent = max(counted.concurrent, counted.running)
+	counted.mutex.Unlock()
+	time.Sleep(time.Millisecond)
+	defer func() {
+		counted.mutex.Lock()
+		counted.running--
+		counted.mutex.Unlock()
+	}()
+	return counted.memoryStore.List(ctx, list)
+}
+
+// TestReadsAfterLoss guards against programs that do not go on after the loss of all hosts,
+// because the turns of each are read from the store with a megabyte of others, until the
+// store and the links of the hosts are busy with them alone.
+func TestReadsAfterLoss(t *testing.T) {
+	const chains = 60
+	tests := []struct {
+		name     string
+		capacity int64 // of the memory of the host
+		listings int   // at most
+	}{
+		{"with memory for all turns", 1 << 20, 4},
+		{"with memory for a few", 10 << 10, 2 * chains},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			stored := &memoryStore{maxRecordBytes: 4096, maxAppendBytes: 64 << 10, newest: make(map[string][]byte), page: 500}
+			writer := stored.newHistories(t)
+			for number := range chains {
+				is.NoErr(writer.Save(t.Context(), "p", Turn{ID: fmt.Sprintf("a%03d", number), Workspace: "w", Input: []byte(fmt.Sprint(number)), Retention: time.Minute}))
+			}
+			counted := &countedStore{memoryStore: stored}
+			reader := stored.newHistories(t)
+			reader.store = counted
+			budget := memory.NewBudget(test.capacity)
+			reader.memory, reader.cache = budget, newTurnCache(budget)
+			var reading sync.WaitGroup
+			errs := make(chan error, chains)
+			for number := range chains {
+				reading.Go(func() {
+					texts, _, err := reader.Transcript(t.Context(), "p", "w", fmt.Sprintf("a%03d", number), unbounded)
+					if err == nil && string(texts[0]) != fmt.Sprint(number) {
+						err = fmt.Errorf("turn %d has the text %q", number, texts[0])
+					}
+					errs <- err
+				})
+			}
+			reading.Wait()
+			for range chains {
+				is.NoErr(<-errs)
+			}
+			t.Log(counted.listings, "listings,", counted.concurrent, "at a time")
+			is.True(counted.listings <= test.listings)
+			is.True(counted.concurrent <= maxStoreReads)
+			held, _ := budget.Held()
+			is.True(held <= test.capacity)
+		})
+	}
+}
--- a/internal/history/record_test.go
+++ b/internal/history/record_test.go
@@ -19,10 +19,11 @@
 )
 
 // memoryStore is a store that rejects oversized records and appends, and returns
-// at most three records in a listing.
+// at most three records in a listing, unless it has another limit.
 type memoryStore struct {
 	maxRecordBytes, maxAppendBytes int
 	newest                         map[string][]byte
+	page                           int
 }
 
 func (memory *memoryStore) Append(_ context.Context, batch store.Append) (int64, error) {
@@ -50,9 +51,10 @@
 		}
 	}
 	sort.Strings(keys)
-	more := len(keys) > 3
+	page := max(3, memory.page)
+	more := len(keys) > page
 	var records []store.Record
-	for _, key := range keys[:min(3, len(keys))] {
+	for _, key := range keys[:min(page, len(keys))] {
 		records = append(records, store.Record{Key: key, Value: memory.newest[key]})
 	}
 	return store.Listing{Records: records, More: more}, nil
