--- a/internal/budget/reserver.go
+++ b/internal/budget/reserver.go
@@ -57,6 +57,9 @@
 	Claim Claim  `msgpack:"c"`
 	// AwaitsLoad says that the host understands ReservationResponse.Loading.
 	AwaitsLoad bool `msgpack:"w,omitempty"`
+	// Unloaded says that the host would have to load the entries of the program itself, which
+	// takes longer than a coordinator that is only slow.
+	Unloaded bool `msgpack:"-"`
 }
 
 // ReservationResponse is the coordinator's response to a reservation request.
@@ -150,7 +153,9 @@
 	}
 	id := reserver.allocator.entryLog.holder + "/" + strconv.FormatInt(reserver.nextSerial(), 36)
 	settlement := Settlement{Program: claim.Program, ID: id}
-	response, err := reserver.coordinators.Reserve(ctx, address, ReservationRequest{ID: id, Claim: claim, AwaitsLoad: true})
+	response, err := reserver.coordinators.Reserve(ctx, address, ReservationRequest{
+		ID: id, Claim: claim, AwaitsLoad: true, Unloaded: !reserver.allocator.entryLog.loaded(claim.Program),
+	})
 	switch {
 	case err == nil && response.Loading:
 		return nil, errCoordinatorLoading
--- a/internal/mesh/budgets.go
+++ b/internal/mesh/budgets.go
@@ -14,7 +14,11 @@
 
 // Reserve implements budget.Coordinators.
 func (mesh *Mesh) Reserve(ctx context.Context, address string, request budget.ReservationRequest) (budget.ReservationResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	timeout := reserveTimeout
+	if request.Unloaded {
+		timeout = unloadedTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var response budget.ReservationResponse
 	err := mesh.transport.Ask(ctx, address, methodReserve, request, &response)
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -298,6 +298,7 @@
 	coordinatorTimeout = 60 * time.Millisecond
 	peerTimeout        = 400 * time.Millisecond
 	reserveTimeout     = 300 * time.Millisecond // two store calls and a round trip between hosts, with a margin
+	unloadedTimeout    = 800 * time.Millisecond // for the same if this host would have to load the budget itself
 	settleAttempts     = 3
 	holderSilence      = 2 * time.Second // after which no caller's retries outlast the wait for a host's tokens
 )
