Count the calls of the store by kind and path

Nothing told whether calls of the store, their repetitions on other paths or the bytes of listings held a fleet back after the loss of all hosts.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,7 @@
 	gateway.mesh = mesh.New(gateway.self, clock, logger, localHost{gateway})
 	gateway.self = gateway.mesh.Self()
 	gateway.store = store.NewFailover(gateway.directStore, gateway.mesh.Relays, clock, logger)
+	gateway.store.SetMetrics(gateway.metrics)
 	gateway.writer = store.NewWriter(gateway.ctx, gateway.store, clock, logger, gateway.self.Incarnation)
 	gateway.expirer = store.NewExpirer(gateway.writer, clock, logger, gateway.metrics)
 	partitions := settings.Store.Partitions
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -48,6 +48,7 @@
 // suffices again.
 func (gateway *Gateway) observeMemory() {
 	held, peak := gateway.memory.Held()
+	gateway.metrics.SetGauge("store_calls_in_flight", float64(gateway.store.InFlight()))
 	gateway.metrics.SetGauge("memory_capacity_bytes", float64(gateway.memory.Capacity()))
 	gateway.metrics.SetGauge("memory_reserved_bytes", float64(held))
 	gateway.metrics.SetGauge("memory_reserved_peak_bytes", float64(peak))
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -72,6 +72,16 @@
 	metrics.scope.Tagged(map[string]string{"reason": reason}).Counter("retries").Inc(1)
 }
 
+// CountStoreCall increments the counter of calls of the store, or that of those without a
+// response, by the kind of call and the path.
+func (metrics *Metrics) CountStoreCall(kind, path string, responded bool) {
+	name := "store_calls"
+	if !responded {
+		name = "store_calls_failed"
+	}
+	metrics.scope.Tagged(map[string]string{"kind": kind, "path": path}).Counter(name).Inc(1)
+}
+
 // SetGauge sets the value of a gauge.
 func (metrics *Metrics) SetGauge(name string, value float64) { metrics.scope.Gauge(name).Update(value) }
 
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -19,8 +19,9 @@
 	}
 }
 
-// patience is how much longer a call may take than a short one.
-type patience struct {
+// callKind is a kind of call, and how much longer it may take than a short one.
+type callKind struct {
+	name  string        // in metrics
 	begin time.Duration // until the store begins to respond
 	end   time.Duration // from then until the end of the response
 }
@@ -35,7 +36,7 @@
 // callPaths calls the paths in order until one responds. It calls the next path
 // when a path fails, or when no path has responded after a delay and the next one
 // is fast.
-func callPaths[T any](ctx context.Context, failover *Failover, patience patience, call func(context.Context, Store) (T, error)) (T, error) {
+func callPaths[T any](ctx context.Context, failover *Failover, kind callKind, call func(context.Context, Store) (T, error)) (T, error) {
 	caller := ctx
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel()
@@ -50,12 +51,12 @@
 		tried++
 		running++
 		go func() {
-			value, err := callPath(ctx, caller, failover, path, patience, responding, call)
+			value, err := callPath(ctx, caller, failover, path, kind, responding, call)
 			results <- callResult[T]{value, err, path == nil}
 		}()
 	}
 	next()
-	hedge := failover.clock.NewTimer(hedgeDelay + patience.begin)
+	hedge := failover.clock.NewTimer(hedgeDelay + kind.begin)
 	defer hedge.Stop()
 	var lastErr error
 	for running > 0 || tried < len(paths) {
@@ -94,14 +95,18 @@
 
 // callPath calls one path. The context is that of the caller, and ends as well when another
 // path has responded.
-func callPath[T any](ctx, caller context.Context, failover *Failover, path *Path, patience patience, responding chan<- struct{}, call func(context.Context, Store) (T, error)) (T, error) {
+func callPath[T any](ctx, caller context.Context, failover *Failover, path *Path, kind callKind, responding chan<- struct{}, call func(context.Context, Store) (T, error)) (T, error) {
+	failover.inFlight.Add(1)
+	defer failover.inFlight.Add(-1)
 	if path != nil {
-		return call(ctx, path.Store)
+		value, err := call(ctx, path.Store)
+		failover.metrics.CountStoreCall(kind.name, "relay", IsResponse(err))
+		return value, err
 	}
-	limited, cancel := context.WithTimeout(ctx, directTimeout+patience.begin+patience.end)
+	limited, cancel := context.WithTimeout(ctx, directTimeout+kind.begin+kind.end)
 	defer cancel()
 	start := failover.clock.Now()
-	stallTimer := failover.clock.AfterFunc(patience.begin+failover.stallTimeout(), func() { failover.recordDirectCall(start, errStalled) })
+	stallTimer := failover.clock.AfterFunc(kind.begin+failover.stallTimeout(), func() { failover.recordDirectCall(start, errStalled) })
 	limited = context.WithValue(limited, respondingKey{}, func() {
 		if stallTimer.Stop() {
 			failover.recordDirectPoll(start)
@@ -113,8 +118,9 @@
 	})
 	value, err := call(limited, failover.direct)
 	stallTimer.Stop()
+	failover.metrics.CountStoreCall(kind.name, "direct", IsResponse(err))
 	switch {
-	case patience.begin+patience.end > 0 && err == nil:
+	case kind.begin+kind.end > 0 && err == nil:
 		failover.recordDirectPoll(start)
 	case caller.Err() != nil, ctx.Err() != nil && failover.clock.Since(start) < hedgeDelay:
 		// The caller has given up, which is no failure of the path: one that did not begin to
--- a/internal/store/failover.go
+++ b/internal/store/failover.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/godwitspread/godwitspread/internal/metric"
 	"github.com/godwitspread/godwitspread/internal/region"
 )
 
@@ -30,10 +32,12 @@
 // Failover calls the store directly, and through another host while the direct
 // path fails.
 type Failover struct {
-	direct Store
-	relays func() []Path
-	clock  clockwork.Clock
-	logger log.Interface
+	direct   Store
+	relays   func() []Path
+	clock    clockwork.Clock
+	logger   log.Interface
+	metrics  *metric.Metrics
+	inFlight atomic.Int64 // calls on all paths
 
 	mutex        sync.Mutex
 	directFailed bool
@@ -47,9 +51,15 @@
 // NewFailover returns a Failover. The function relays lists the hosts that reach
 // the store, the best first.
 func NewFailover(direct Store, relays func() []Path, clock clockwork.Clock, logger log.Interface) *Failover {
-	return &Failover{direct: direct, relays: relays, clock: clock, logger: logger}
+	return &Failover{direct: direct, relays: relays, clock: clock, logger: logger, metrics: metric.Discard()}
 }
 
+// SetMetrics sets where calls are counted. It must be called before the first call.
+func (failover *Failover) SetMetrics(metrics *metric.Metrics) { failover.metrics = metrics }
+
+// InFlight returns the number of calls in progress on all paths.
+func (failover *Failover) InFlight() int64 { return failover.inFlight.Load() }
+
 // DirectReachable reports whether the direct path has responded recently.
 func (failover *Failover) DirectReachable() bool {
 	failover.mutex.Lock()
@@ -94,17 +104,17 @@
 
 // Append implements Store.
 func (failover *Failover) Append(ctx context.Context, batch Append) (int64, error) {
-	return callPaths(ctx, failover, patience{}, func(ctx context.Context, store Store) (int64, error) { return store.Append(ctx, batch) })
+	return callPaths(ctx, failover, callKind{name: "append"}, func(ctx context.Context, store Store) (int64, error) { return store.Append(ctx, batch) })
 }
 
 // Read implements Store.
 func (failover *Failover) Read(ctx context.Context, read Read) (Page, error) {
-	return callPaths(ctx, failover, patience{begin: read.Wait}, func(ctx context.Context, store Store) (Page, error) { return store.Read(ctx, read) })
+	return callPaths(ctx, failover, callKind{name: "read", begin: read.Wait}, func(ctx context.Context, store Store) (Page, error) { return store.Read(ctx, read) })
 }
 
 // List implements Store.
 func (failover *Failover) List(ctx context.Context, list List) (Listing, error) {
-	return callPaths(ctx, failover, patience{end: list.Patience()}, func(ctx context.Context, store Store) (Listing, error) { return store.List(ctx, list) })
+	return callPaths(ctx, failover, callKind{name: "list", end: list.Patience()}, func(ctx context.Context, store Store) (Listing, error) { return store.List(ctx, list) })
 }
 
 // maxPaths bounds the paths that one call tries.
