Begin the outage once the turn runs in a test

TestStoreLostDuringTurn let the store fall silent 150 ms after a request to a fleet that has just started. A host now waits up to 1.5 s after its start, until it knows the others, before it loads budgets, so that the outage began before the turn and it was refused with 503. The test waits for the run of the turn, which it is about, and checks the same.

--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -162,7 +162,15 @@
 	go func() {
 		responses <- fleet.hosts[0].send(testRequest{path: "/dialogue/a", key: key, body: "x", program: "p8", budget: 1000, tokens: 100, limit: 1500 * time.Millisecond})
 	}()
-	time.Sleep(150 * time.Millisecond)
+	fleet.eventually(time.Second, "the turn runs", func() bool {
+		for _, engine := range fleet.engines {
+			if len(engine.Runs()) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	time.Sleep(60 * time.Millisecond) // after the first event
 	fleet.store.SetFault(func(string, string) standin.Fault { return standin.NoResponse })
 	response := <-responses
 	is.Equal(response.status, 200)
