Hedge pages of listings later, and let first listings take longer

A listing that had not begun after 120 ms was repeated on the next path, and one that had not ended after 1.5 s began again, while the store sent pages at its full rate. Pages of scans are repeated after 0.8 s, and followers give a listing 5.5 s.

--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -23,6 +23,7 @@
 type callKind struct {
 	name  string        // in metrics
 	begin time.Duration // until the store begins to respond
+	hedge time.Duration // until the next path is called as well
 	end   time.Duration // from then until the end of the response
 }
 
@@ -56,7 +57,7 @@
 		}()
 	}
 	next()
-	hedge := failover.clock.NewTimer(hedgeDelay + kind.begin)
+	hedge := failover.clock.NewTimer(hedgeDelay + kind.begin + kind.hedge)
 	defer hedge.Stop()
 	var lastErr error
 	for running > 0 || tried < len(paths) {
--- a/internal/store/failover.go
+++ b/internal/store/failover.go
@@ -60,6 +60,12 @@
 // InFlight returns the number of calls in progress on all paths.
 func (failover *Failover) InFlight() int64 { return failover.inFlight.Load() }
 
+// listKind returns the kind of a listing. A hedge of a page of many would let a store that is
+// busy with pages send more of them.
+func listKind(list List) callKind {
+	return callKind{name: "list", hedge: list.Patience() / 3, end: list.Patience()}
+}
+
 // DirectReachable reports whether the direct path has responded recently.
 func (failover *Failover) DirectReachable() bool {
 	failover.mutex.Lock()
@@ -114,7 +120,7 @@
 
 // List implements Store.
 func (failover *Failover) List(ctx context.Context, list List) (Listing, error) {
-	return callPaths(ctx, failover, callKind{name: "list", end: list.Patience()}, func(ctx context.Context, store Store) (Listing, error) { return store.List(ctx, list) })
+	return callPaths(ctx, failover, listKind(list), func(ctx context.Context, store Store) (Listing, error) { return store.List(ctx, list) })
 }
 
 // maxPaths bounds the paths that one call tries.
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -66,6 +66,7 @@
 const (
 	followRetry   = 100 * time.Millisecond // delay after a failed read
 	followTimeout = 1500 * time.Millisecond
+	listTimeout   = followTimeout + 2*bulkPatience // all hosts may list at once, on two paths
 )
 
 // ViewAge returns the time since the copy was last known to be complete, including the time
@@ -160,7 +161,7 @@
 }
 
 func (follower *Follower) list(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	records, end, err := ListAll(ctx, follower.Store, follower.Topic, follower.Partition)
 	if err != nil {
