Reject responses with a status that no response has

Cause: net/http accepts any three characters that are a number as a status, and a status below 200 counted as informational. What followed the head, its body, was taken for the response.

Evidence: outbound.TestImpossibleStatus and gateway.TestImpossibleStatus were red on for 000, 099, +20, 600 and 999, on all kinds of routes, directly and through another host.

Change: a head with a status below 100 or above 599 is malformed. The connection is closed; a request that may be repeated goes on at another target, any other ends with 502. A host that sends requests for others stops looking for heads there.

--- a/internal/outbound/head.go
+++ b/internal/outbound/head.go
@@ -18,10 +18,29 @@
 
 var errOldChunks = errors.New("response of HTTP/1.0 has a transfer encoding")
 
-// checkHead returns an error if another response begins within the head of a response, so
-// that what it says may be true of either, or if a name contains a space: net/http keeps
-// such a header and does not see a length in it.
+// Statuses of responses. Those below http.StatusOK are informational.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkStatus returns an error for a status that no response has. net/http accepts any three
+// characters that are a number, and one below 100 would count as informational: what follows
+// it would be taken for the response.
+func checkStatus(response *http.Response) error {
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return fmt.Errorf("status %q of a response, expected a number from %d to %d", response.Status, minStatus, maxStatus)
+	}
+	return nil
+}
+
+// checkHead returns an error if a response has an impossible status, if another response
+// begins within its head, so that what it says may be true of either, or if a name
+// contains a space: net/http keeps such a header and does not see a length in it.
 func checkHead(response *http.Response) error {
+	if err := checkStatus(response); err != nil {
+		return err
+	}
 	if statusLine.MatchString(response.Status) {
 		return fmt.Errorf("status %q contains another response", response.Status)
 	}
--- a/internal/outbound/relay.go
+++ b/internal/outbound/relay.go
@@ -272,6 +272,9 @@
 		}
 		head := scanner.pending[:searched+found+len(headEnd)]
 		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
+		if err == nil {
+			err = checkStatus(response)
+		}
 		if err == nil {
 			scanner.observe(response.StatusCode, response.Header)
 		}
