Answer requests that outlast the grace period of a stop

Cause: a request that came in the first three eighths of the grace period may take until its own deadline, and nothing ended it before the process did.

Change: 0.3 s before the process stops waiting, the requests in flight end as at their deadline: 504 if a target may have run them, 503 if not. requests_ended_by_stop counts them.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -107,6 +107,8 @@
 	random        func() float64            // for Retry-After, in [0, 1); nil for a running host
 	pickService   func(*route.Route) string // draws one of the services of a route
 	draining      atomic.Bool
+	ending        context.Context // of all requests; cancelled by EndRequests
+	end           context.CancelFunc
 	refuseAt      atomic.Pointer[time.Time] // once draining
 	inFlight      atomic.Int64
 }
@@ -140,7 +142,9 @@
 
 // New returns a handler with the given dependencies.
 func New(dependencies Dependencies) *Handler {
+	ending, end := context.WithCancel(context.Background())
 	return &Handler{
+		ending: ending, end: end,
 		clock: dependencies.Clock, logger: dependencies.Logger, metrics: dependencies.Metrics, configuration: dependencies.Configuration,
 		registry: dependencies.Registry, pool: dependencies.Pool, crashTracker: dependencies.CrashTracker, rateLimiter: dependencies.RateLimiter, budgets: dependencies.Budgets, turnHistory: dependencies.TurnHistory, limitSettings: dependencies.LimitSettings,
 		targetLimits: dependencies.TargetLimits, targetLimiter: dependencies.TargetLimiter, origins: dependencies.Origins, memory: dependencies.Memory, regions: dependencies.Regions,
@@ -164,6 +168,13 @@
 	return handler.draining.Load() && !handler.clock.Now().Before(*handler.refuseAt.Load())
 }
 
+// EndRequests ends the requests in flight, because the host stops before their targets may
+// have responded. Callers whose response has not begun get one.
+func (handler *Handler) EndRequests() {
+	handler.metrics.Add("requests_ended_by_stop", int(handler.inFlight.Load()))
+	handler.end()
+}
+
 // InFlight returns the number of requests in flight.
 func (handler *Handler) InFlight() int64 { return handler.inFlight.Load() }
 
@@ -214,6 +225,7 @@
 	}
 	ctx, cancel := context.WithDeadline(incoming.Context(), exchange.deadline)
 	defer cancel()
+	defer context.AfterFunc(handler.ending, cancel)()
 	// The end of the context does not interrupt a write to the caller.
 	if err := http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(exchange.timeLeft() + writeMargin)); err != nil {
 		exchange.writeRejection(newRejection(http.StatusServiceUnavailable, "connection_lost").withCause(err))
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -233,7 +233,11 @@
 	if exchange.possibleRuns == 0 {
 		return newRejection(http.StatusServiceUnavailable, "deadline_exceeded").withRetryDelay(busyRetryDelay)
 	}
-	return newRejection(http.StatusGatewayTimeout, "outcome_unknown").withCause(errors.New("target had not responded when the deadline of the request passed"))
+	cause := errors.New("target had not responded when the deadline of the request passed")
+	if exchange.handler.ending.Err() != nil {
+		cause = errors.New("target had not responded when the host had to stop")
+	}
+	return newRejection(http.StatusGatewayTimeout, "outcome_unknown").withCause(cause)
 }
 
 // exhaustedRejection returns the rejection of a request that no target served.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	balancerLag           = 2500 * time.Millisecond // the load balancer removes a host after two failed health checks, one second apart
 	acceptShare           = 3. / 8                  // of the grace period, in which a stopping host accepts requests; longer than balancerLag
 	stopMargin            = time.Second             // part of the grace period reserved for the exit of the process
+	endMargin             = 300 * time.Millisecond  // before that, in which requests that have not ended get a response
 )
 
 // Gateway is a host that accepts callers' requests.
@@ -324,6 +325,7 @@
 	remaining := grace - stopMargin - gateway.clock.Since(started)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
+	defer gateway.clock.AfterFunc(remaining-endMargin, gateway.front.EndRequests).Stop()
 	err := gateway.callerServer.shutdown(ctx)
 	gateway.awaitExchanges(ctx)
 	gateway.returnBudgets(ctx)
