--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -95,3 +95,57 @@
 	fleet.eventually(time.Second, "the request is in flight", func() bool { return fleet.hosts[0].Status().RequestsInFlight == 1 })
 	fleet.eventually(2*time.Second, "the request ends", func() bool { return fleet.hosts[0].Status().RequestsInFlight == 0 })
 }
+
+// TestEndlessParts guards against targets that send parts of a response without end which
+// net/http reads for itself, directly and through another host.
+func TestEndlessParts(t *testing.T) {
+	const (
+		acceptedBytes = 8 << 20 // the buffers of the sockets on both ways
+		prompt        = 1500 * time.Millisecond
+	)
+	behaviours := []standin.Behaviour{standin.EndlessHead, standin.EndlessInterimHead, standin.EndlessInterims, standin.EndlessTrailers, standin.EndlessChunkExtension}
+	for _, relayed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("relayed %t", relayed), func(t *testing.T) {
+			fleet := newFleet(t, 3)
+			if relayed {
+				fleet.hosts[0].targets.set(refusing)
+				fleet.eventually(5*time.Second, "the host has lost its targets", func() bool {
+					fleet.hosts[0].send(testRequest{path: "/open/a"})
+					return fleet.hosts[0].Status().TargetsLost
+				})
+			}
+			targets := append(append([]*standin.Target{}, fleet.tools...), fleet.engines...)
+			for _, behaviour := range behaviours {
+				for _, test := range []struct {
+					path   string
+					status int
+				}{{"/lookup/a", 200}, {"/filing/a", 502}} {
+					t.Run(fmt.Sprintf("behaviour %d, %s", behaviour, test.path), func(t *testing.T) {
+						is := is.NewRelaxed(t)
+						var first atomic.Bool
+						sent := int64(0)
+						for _, target := range targets {
+							sent -= target.SentEndless()
+							target.SetBehaviour(func(standin.Run) standin.Behaviour {
+								if first.CompareAndSwap(false, true) {
+									return behaviour
+								}
+								return standin.Normal
+							})
+						}
+						response := fleet.hosts[0].send(testRequest{path: test.path, key: key, body: "text", limit: 3 * time.Second})
+						time.Sleep(50 * time.Millisecond) // the target notices that its connection is closed
+						for _, target := range targets {
+							sent += target.SentEndless()
+						}
+						t.Logf("status %d after %v, %d bytes", response.status, response.duration, sent)
+						is.Equal(response.status, test.status)
+						is.True(response.complete)
+						is.True(response.duration < prompt)
+						is.True(sent <= acceptedBytes)
+					})
+				}
+			}
+		})
+	}
+}
