Measure a lost race of paths from the begin of the call

Its time was measured from the start of its goroutine, some microseconds after that of the delay, so that it was shorter than the delay. It is measured from the begin of the call now.

A turn that the reader of a partition does not know is no failure of the reader, and is not counted or logged as one.

--- a/internal/history/read.go
+++ b/internal/history/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -40,13 +41,14 @@
 const emptyTime = 10 * time.Second
 
 // findKept gets a chain without home regions from the host that reads its partition, caches
-// it and adds it to the loaded turns. It returns nil if this host has to read it itself.
+// it and adds it to the loaded turns. It returns nil if this host has to read it itself: the other
+// one may not know of home regions that the turn once had.
 func (histories *Histories) findKept(ctx context.Context, workspace, id string, loaded map[string]*Turn) []Turn {
 	if region.FromContext(ctx) != nil || !histories.reachable(ctx) {
 		return nil
 	}
 	turns, self, err := histories.peers.FindKept(ctx, histories.partitionName(workspace), workspace, id)
-	if self {
+	if self || errors.Is(err, ErrNoTurn) {
 		return nil
 	}
 	if err != nil {
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -52,7 +52,7 @@
 		tried++
 		running++
 		go func() {
-			value, err := callPath(ctx, caller, failover, path, kind, responding, call)
+			value, err := callPath(ctx, caller, start, failover, path, kind, responding, call)
 			results <- callResult[T]{value, err, path == nil}
 		}()
 	}
@@ -94,9 +94,9 @@
 	return zero, lastErr
 }
 
-// callPath calls one path. The context is that of the caller, and ends as well when another
-// path has responded.
-func callPath[T any](ctx, caller context.Context, failover *Failover, path *Path, kind callKind, responding chan<- struct{}, call func(context.Context, Store) (T, error)) (T, error) {
+// callPath calls one path. The context is that of the caller, whose call has begun at a time,
+// and ends as well when another path has responded.
+func callPath[T any](ctx, caller context.Context, begun time.Time, failover *Failover, path *Path, kind callKind, responding chan<- struct{}, call func(context.Context, Store) (T, error)) (T, error) {
 	failover.inFlight.Add(1)
 	defer failover.inFlight.Add(-1)
 	if path != nil {
@@ -123,7 +123,7 @@
 	switch {
 	case kind.begin+kind.end > 0 && err == nil:
 		failover.recordDirectPoll(start)
-	case caller.Err() != nil, ctx.Err() != nil && failover.clock.Since(start) < hedgeDelay:
+	case caller.Err() != nil, ctx.Err() != nil && failover.clock.Since(begun) < hedgeDelay:
 		// The caller has given up, which is no failure of the path: one that did not begin to
 		// respond in time has been recorded as stalled.
 	case errors.Is(err, ErrMemory):
