Test the later hedges of listings and the patience with coordinators

TestLongFirstListing: a follower's first listing outlasts the time of a read. No product code changes.

--- a/internal/budget/load_test.go
+++ b/internal/budget/load_test.go
@@ -48,6 +48,19 @@
 	return listing, err
 }
 
+// unloadedRelay counts the reservations of a host that has loaded the budget itself.
+type unloadedRelay struct {
+	*relay
+	loaded int
+}
+
+func (relay *unloadedRelay) Reserve(ctx context.Context, address string, request ReservationRequest) (ReservationResponse, error) {
+	if !request.Unloaded {
+		relay.loaded++
+	}
+	return relay.relay.Reserve(ctx, address, request)
+}
+
 // TestLoadOutlivesRequests guards against a fleet that does not serve after the loss of all
 // hosts, because each request that ends throws the pages away that were read for it, or
 // because all hosts load what the coordinator of a program is loading.
@@ -69,7 +82,8 @@
 			}
 			clock := clockwork.NewRealClock()
 			coordinator := NewReserver(cluster.hosts[0], &otherDataCentre{}, clock, metric.Discard())
-			reserver := NewReserver(cluster.hosts[1], &relay{coordinator}, clock, metric.Discard())
+			asked := &unloadedRelay{relay: &relay{coordinator}}
+			reserver := NewReserver(cluster.hosts[1], asked, clock, metric.Discard())
 			// A claim of an older build gets an error in time, and is not told that it was granted.
 			short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 			defer cancel()
@@ -85,6 +99,7 @@
 			is.True(served)
 			is.True(slow.listings <= 2*pages+2)                    // each page once, and again after a failure
 			is.Equal(cluster.hosts[1].entryLog.loaded("q"), false) // the other host has loaded nothing
+			is.Equal(asked.loaded, 0)                              // so it waits longer for the coordinator
 			_, err = reserver.Reserve(t.Context(), Claim{Program: "p07", Budget: 100, Tokens: 60, TTL: time.Second})
 			is.True(errors.Is(err, ErrSpent)) // what the lost hosts held is counted
 		})
--- a/internal/mesh/settle_test.go
+++ b/internal/mesh/settle_test.go
@@ -44,3 +44,26 @@
 	is.NoErr(transport.Close())
 	is.NoErr(server.Close())
 }
+
+// TestReservationPatience guards against a host that loads the entries of a budget from a
+// busy store although their coordinator only responds slowly.
+func TestReservationPatience(t *testing.T) {
+	is := is.New(t)
+	clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.Default}
+	server := peer.NewTransport("a2", "a2/1", "secret", clock, logger, newTestMesh(clock, "a2", "a").Handler(Operations{
+		Reserve: func(context.Context, budget.ReservationRequest) (budget.ReservationResponse, error) {
+			time.Sleep(reserveTimeout + 150*time.Millisecond)
+			return budget.ReservationResponse{}, nil
+		},
+	}))
+	is.NoErr(server.Listen("127.0.0.1:0"))
+	mesh := newTestMesh(clock, "a1", "a")
+	transport := peer.NewTransport("a1", "a1/1", "secret", clock, logger, mesh.Handler(Operations{}))
+	mesh.SetTransport(transport)
+	for _, unloaded := range []bool{false, true} {
+		_, err := mesh.Reserve(t.Context(), server.Address(), budget.ReservationRequest{ID: "x", Unloaded: unloaded})
+		is.Equal(err == nil, unloaded) // a loaded budget is counted here instead
+	}
+	is.NoErr(transport.Close())
+	is.NoErr(server.Close())
+}
--- a/internal/store/calls_test.go
+++ b/internal/store/calls_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,10 +15,12 @@
 // listedStore begins to respond to a listing at once, and ends after a delay.
 type listedStore struct {
 	scriptedStore
-	silent bool // does not begin to respond before the end
+	silent   bool // does not begin to respond before the end
+	listings atomic.Int64
 }
 
 func (store *listedStore) List(ctx context.Context, _ List) (Listing, error) {
+	store.listings.Add(1)
 	if !store.silent {
 		Responding(ctx)
 	}
@@ -28,6 +32,24 @@
 	}
 }
 
+// TestHedgesOfListings guards against a page of a scan that is called for twice because the
+// store is busy with pages for all hosts, and against a short listing that waits for a slow path.
+func TestHedgesOfListings(t *testing.T) {
+	const delay = 500 * time.Millisecond // less than bulkPatience/3
+	for _, bulk := range []bool{false, true} {
+		t.Run(fmt.Sprintf("bulk %v", bulk), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			direct := &listedStore{scriptedStore: scriptedStore{delay: delay}, silent: true}
+			relay := &listedStore{}
+			failover := NewFailover(direct, func() []Path { return []Path{{Store: relay, Fast: true}} }, clockwork.NewRealClock(), discardLogger)
+			_, err := failover.List(t.Context(), List{Topic: "t", Bulk: bulk})
+			is.NoErr(err)
+			is.Equal(relay.listings.Load() == 0, bulk)
+		})
+	}
+}
+
 // TestLongListings guards against a path to the store that counts as failed because a page
 // takes long on the link of a small host, or because its caller has given up. All calls of
 // the host would go through other hosts then, whose links carry the page as well.
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -93,6 +93,31 @@
 	<-done
 }
 
+// TestLongFirstListing guards against a host that lists a topic again and again while the
+// store responds slowly, because all hosts have started at once.
+func TestLongFirstListing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	slow := &listedStore{scriptedStore: scriptedStore{delay: followTimeout + 500*time.Millisecond}}
+	applied := make(chan struct{})
+	follower := &Follower{
+		Store: slow, Clock: clockwork.NewRealClock(), Logger: discardLogger, Topic: "t", ReadInterval: time.Hour,
+		Apply: func(_ []Record, full bool) {
+			if full {
+				close(applied)
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go follower.Run(ctx)
+	select {
+	case <-applied:
+	case <-time.After(2 * listTimeout):
+	}
+	is.Equal(slow.listings.Load(), int64(1))
+}
+
 // countingStore is an empty store that counts the reads.
 type countingStore struct {
 	listingStore
