Read chains of any number of segments

Callers see: a turn that continues a kept one is refused by every host with 503 history_unavailable ("turn before it is missing"), as long as no host has its chain in memory.

Cause: a host that stores a turn without having the previous one cached begins a new segment, and one request read at most 8 segments of a chain.

Evidence: history.TestChainOfManySegments, 30 turns of a segment each, failed before: turn "a21" before "a29" is missing.

Change: a chain is read segment by segment until it is whole or the request's time is over, within the memory that it may reserve. A segment without the wanted turn ends the read.

--- a/internal/history/read.go
+++ b/internal/history/read.go
@@ -98,34 +98,50 @@
 	return turns, nil
 }
 
-// readChain reads the missing turns of a chain from the store. It returns the chain and the
-// ID of the first turn that is still missing, if any.
+// readChain reads the missing turns of a chain from the store, one segment after the other,
+// until the context ends. It returns the chain and the ID of the first turn that is still
+// missing, if any. A new segment starts when a host stores a turn without knowing the segment
+// of the previous one.
 func (histories *Histories) readChain(ctx context.Context, workspace, id string, known []*Turn, loaded map[string]*Turn, reserve func(bytes int64) error) (turns []*Turn, missing string, err error) {
+	turns, missing = histories.cache.chain(id, loaded)
+	for held := sizeOf(known); missing != ""; held = sizeOf(turns) {
+		if turns, missing, err = histories.readSegment(ctx, workspace, id, held, loaded, reserve); err != nil {
+			return turns, missing, err
+		}
+	}
+	return turns, "", nil
+}
+
+// readSegment reads the segment with the first missing turn of a chain, for which some bytes
+// have been reserved. Other requests may read between two segments of a long chain.
+func (histories *Histories) readSegment(ctx context.Context, workspace, id string, held int64, loaded map[string]*Turn, reserve func(bytes int64) error) (turns []*Turn, missing string, err error) {
 	if err := histories.beginRead(ctx); err != nil {
 		return nil, id, fmt.Errorf("%w: %w", ErrNotDurable, err)
 	}
 	defer histories.endRead()
 	// Another request may have read the chain meanwhile.
 	turns, missing = histories.cache.chain(id, loaded)
-	if err := reserve(max(0, sizeOf(turns)-sizeOf(known))); err != nil {
+	if err := reserve(max(0, sizeOf(turns)-held)); err != nil {
 		return nil, missing, err
 	}
-	for attempts := 0; missing != "" && attempts < maxChainSegments; attempts++ {
-		if !histories.reachable(ctx) {
-			return turns, missing, ErrNotDurable
-		}
-		if err := histories.loadSegment(ctx, workspace, missing, loaded, reserve); err != nil {
-			return turns, missing, err
-		}
-		turns, missing = histories.cache.chain(id, loaded)
+	if missing == "" {
+		return turns, "", nil
+	}
+	if !histories.reachable(ctx) {
+		return turns, missing, ErrNotDurable
+	}
+	wanted := missing
+	if err := histories.loadSegment(ctx, workspace, wanted, loaded, reserve); err != nil {
+		return turns, wanted, err
 	}
+	histories.metrics.Count("history_segments_read")
+	if loaded[wanted] == nil {
+		return turns, wanted, ErrNoTurn
+	}
+	turns, missing = histories.cache.chain(id, loaded)
 	return turns, missing, nil
 }
 
-// maxChainSegments limits the segments that fetch loads for one chain. A new
-// segment starts when a host stores a turn without having cached the previous one.
-const maxChainSegments = 8
-
 func (histories *Histories) endRead() { <-histories.reads }
 
 // cacheNeighbours caches the turns of a page that belong to other chains than the one with
--- a/internal/history/read_test.go
+++ b/internal/history/read_test.go
@@ -85,3 +85,24 @@
 		})
 	}
 }
+
+// TestChainOfManySegments guards against a turn that no host can continue, because hosts
+// without memory for the turn before have stored each turn as a segment of its own.
+func TestChainOfManySegments(t *testing.T) {
+	is := is.New(t)
+	stored := &memoryStore{maxRecordBytes: 4096, maxAppendBytes: 64 << 10, newest: make(map[string][]byte)}
+	const turns = 30
+	previous := ""
+	for number := range turns {
+		id := fmt.Sprintf("a%02d", number)
+		is.NoErr(stored.newHistories(t).Save(t.Context(), "p", Turn{ID: id, Previous: previous, Workspace: "w", Input: []byte(id), Retention: time.Minute}))
+		previous = id
+	}
+	texts, _, err := stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
+	is.NoErr(err)
+	is.Equal(len(texts), 2*turns)
+	delete(stored.newest, rootPrefix+"a05")
+	_, _, err = stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
+	is.True(err != nil)
+	is.True(err != ErrNoTurn) // the turn exists, but cannot be continued
+}
