Store a turn in the segment of the chain that its request has read

Callers see: a dialogue that has gone on for longer than its retention cannot be continued after a loss of all hosts, although its last turn is kept (503 history_unavailable).

Cause: Save looked the segment of the previous turn up in the cache. If the host had no memory for the previous turn until the next one had run, that began a segment of its own.

Evidence: history.TestChainInOneSegment evicts all turns while the next one runs; with the former lookup the second turn is stored apart. front.TestTurnsWithinRegions fails without the root in the saved turn.

Change: Transcript returns the root of the chain with its texts and charges, and the turn is saved with it. Without one, Save asks the cache as before.

--- a/internal/front/explain_detach.go
+++ b/internal/front/explain_detach.go
@@ -139,9 +139,9 @@
 }
 
 // Transcript implements TurnHistory.
-func (historyView historyView) Transcript(context.Context, string, string, string, func(int64) error) ([][]byte, []budget.Charge, error) {
+func (historyView historyView) Transcript(context.Context, string, string, string, func(int64) error) (history.Transcript, error) {
 	historyView.explanation.note("turns that the request continues are not read: they count as kept and without charges, and their memory is not counted")
-	return nil, nil, nil
+	return history.Transcript{}, nil
 }
 
 // CheckStorable implements TurnHistory.
--- a/internal/front/explain_test.go
+++ b/internal/front/explain_test.go
@@ -101,8 +101,8 @@
 // storableHistory implements TurnHistory with an error for all turns.
 type storableHistory struct{ err error }
 
-func (storableHistory) Transcript(context.Context, string, string, string, func(int64) error) ([][]byte, []budget.Charge, error) {
-	return nil, nil, nil
+func (storableHistory) Transcript(context.Context, string, string, string, func(int64) error) (history.Transcript, error) {
+	return history.Transcript{}, nil
 }
 func (storableHistory storableHistory) CheckStorable(context.Context, int) error {
 	return storableHistory.err
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -59,11 +59,10 @@
 
 // TurnHistory stores turns and assembles the context of a continued turn.
 type TurnHistory interface {
-	// Transcript returns the texts of the turns up to and including the previous
-	// one, and the charges of the last ones, oldest first. The texts are shared and must
-	// not be changed. It calls reserve with the bytes that it holds for the caller, and
-	// returns its error.
-	Transcript(ctx context.Context, program, workspace, previous string, reserve func(bytes int64) error) ([][]byte, []budget.Charge, error)
+	// Transcript returns the transcript of the turns up to and including the previous
+	// one. It calls reserve with the bytes that it holds for the caller, and returns its
+	// error.
+	Transcript(ctx context.Context, program, workspace, previous string, reserve func(bytes int64) error) (history.Transcript, error)
 	// Save makes a turn durable.
 	Save(ctx context.Context, program string, turn history.Turn) error
 	// CheckStorable returns an error if a turn with an input of the given size
@@ -196,6 +195,7 @@
 	deadline      time.Time
 	unreadBody    bool                // the request has a body that was not read to its end
 	body          request.Body        // as sent to the target: that of the request, after the turns that it continues
+	root          string              // of the chain that the turn continues, if any
 	overhead      *memory.Reservation // of the request without its content
 	memory        *memory.Reservation // of what the request holds beside it
 	digest        uint64              // hash of the content, identifies requests that crash targets
--- a/internal/front/region_test.go
+++ b/internal/front/region_test.go
@@ -11,7 +11,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
-	"github.com/godwitspread/godwitspread/internal/budget"
 	"github.com/godwitspread/godwitspread/internal/capacity"
 	"github.com/godwitspread/godwitspread/internal/history"
 	"github.com/godwitspread/godwitspread/internal/metric"
@@ -22,7 +21,10 @@
 )
 
 // confinedHistory records the constraints under which turns are read and stored.
-type confinedHistory struct{ keys []string }
+type confinedHistory struct {
+	keys []string
+	root string // of the saved turn
+}
 
 func (history *confinedHistory) record(ctx context.Context) {
 	history.keys = append(history.keys, region.FromContext(ctx).Key())
@@ -33,18 +35,20 @@
 	return nil
 }
 
-func (history *confinedHistory) Transcript(ctx context.Context, _, _, _ string, _ func(int64) error) ([][]byte, []budget.Charge, error) {
-	history.record(ctx)
-	return nil, nil, nil
+func (confined *confinedHistory) Transcript(ctx context.Context, _, _, _ string, _ func(int64) error) (history.Transcript, error) {
+	confined.record(ctx)
+	return history.NewTranscript(nil, nil, "t-0"), nil
 }
 
-func (confined *confinedHistory) Save(ctx context.Context, _ string, _ history.Turn) error {
+func (confined *confinedHistory) Save(ctx context.Context, _ string, turn history.Turn) error {
 	confined.record(ctx)
+	confined.root = turn.Root
 	return nil
 }
 
 // TestTurnsWithinRegions guards against reading or storing the texts of a turn without
-// the constraint of its request, so that they may pass through any host.
+// the constraint of its request, so that they may pass through any host, and against storing
+// a turn apart from the chain that it continues.
 func TestTurnsWithinRegions(t *testing.T) {
 	is := is.New(t)
 	turns := &confinedHistory{}
@@ -61,6 +65,7 @@
 	is.Equal(exchange.prepareTurn(t.Context()), nil)
 	is.Equal((&relay{exchange: exchange, headSent: true, retainsOutput: true}).complete(t.Context()), nil)
 	is.Equal(turns.keys, []string{"in:r2", "in:r2", "in:r2"}) // CheckStorable, Transcript, Save
+	is.Equal(turns.root, "t-0")
 }
 
 // TestRefusalOutsideHome guards against a request without a target in its home regions that
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -249,7 +249,7 @@
 			return relay.fail(newRejection(http.StatusBadGateway, "history_not_durable").withCause(err))
 		}
 		turn := history.Turn{
-			ID: exchange.request.Attempt, Previous: exchange.request.PreviousTurn, Workspace: exchange.workspaceName(),
+			ID: exchange.request.Attempt, Previous: exchange.request.PreviousTurn, Root: exchange.root, Workspace: exchange.workspaceName(),
 			Input: input, Output: relay.output.Bytes(), Retention: exchange.route.Retention,
 		}
 		if exchange.reservation != nil {
@@ -304,7 +304,7 @@
 	}
 	var charges []budget.Charge
 	if exchange.route.KeepsHistory && exchange.request.PreviousTurn != "" {
-		previous, charged, err := handler.turnHistory.Transcript(region.NewContext(ctx, exchange.home), exchange.request.Program, exchange.workspaceName(), exchange.request.PreviousTurn, exchange.memory.Grow)
+		transcript, err := handler.turnHistory.Transcript(region.NewContext(ctx, exchange.home), exchange.request.Program, exchange.workspaceName(), exchange.request.PreviousTurn, exchange.memory.Grow)
 		var exhausted *memory.ExhaustedError
 		switch {
 		case errors.Is(err, history.ErrNoTurn):
@@ -314,7 +314,7 @@
 		case err != nil:
 			return newRejection(http.StatusServiceUnavailable, "history_unavailable").withRetryDelay(storeRetryDelay).withCause(err)
 		}
-		exchange.body, charges = append(previous, exchange.request.Body...), charged
+		exchange.body, exchange.root, charges = append(transcript.Texts(), exchange.request.Body...), transcript.Root(), transcript.Charges()
 	}
 	if !exchange.hasBudget() {
 		return nil
--- a/internal/history/cache.go
+++ b/internal/history/cache.go
@@ -15,8 +15,8 @@
 var ErrNoTurn = errors.New("no such turn in the workspace")
 
 // Turn is a completed turn of a program. Root is the ID of the first turn of its
-// chain, or of a later turn if the host that stored that turn had not cached the
-// turn before it. Turns with the same root form a segment of the chain.
+// chain, or of a later turn if the host that stored that turn did not know the
+// segment of the turn before it. Turns with the same root form a segment of the chain.
 type Turn struct {
 	ID           string        `msgpack:"i"`
 	Previous     string        `msgpack:"p,omitempty"`
--- a/internal/history/confined_test.go
+++ b/internal/history/confined_test.go
@@ -120,10 +120,10 @@
 			histories.SetConfined([]*region.Constraint{regions.Constrain([]string{"r2"}), regions.Constrain([]string{"r1"})})
 			histories.SetConfined(nil) // the configuration has changed
 		}
-		texts, _, err := host.Transcript(region.NewContext(t.Context(), ofA.Constrain(test.sent)), "p", test.workspace, "t-1", func(int64) error { return nil })
+		transcript, err := host.Transcript(region.NewContext(t.Context(), ofA.Constrain(test.sent)), "p", test.workspace, "t-1", func(int64) error { return nil })
 		is.Equal(err == nil, test.found) // test.name
 		if test.found {
-			is.Equal(string(texts[0]), "in") // test.name
+			is.Equal(string(transcript.Texts()[0]), "in") // test.name
 		}
 		var expected []string
 		for _, homes := range test.listedByA {
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -115,14 +115,16 @@
 	return nil
 }
 
-// Save makes a turn durable. Only hosts that the constraint of the context allows see its
-// texts. The response to a turn must not end before Save
+// Save makes a turn durable. A turn that continues another one should have the root of its
+// transcript. Only hosts that the constraint of the context allows see its texts. The response to a turn must not end before Save
 // has returned without an error.
 func (histories *Histories) Save(ctx context.Context, program string, turn Turn) error {
 	turn.StoredMillis = histories.clock.Now().UnixMilli()
-	turn.Root = turn.ID
-	if previous, ok := histories.cache.get(turn.Previous); ok {
-		turn.Root = previous.Root
+	if turn.Root == "" {
+		turn.Root = turn.ID
+		if previous, ok := histories.cache.get(turn.Previous); ok {
+			turn.Root = previous.Root
+		}
 	}
 	records, err := encodeTurn(turn, histories.limits.RecordBytes)
 	if err != nil {
@@ -180,31 +182,53 @@
 // Evict evicts cached turns until it has released a number of bytes, or has none.
 func (histories *Histories) Evict(bytes int64) { histories.cache.evict(bytes) }
 
-// Transcript returns the texts of the chain that ends with the given turn, and the
-// charges of its last turns, oldest first. The texts are shared and must not be changed.
-// It calls reserve with the bytes that it holds for the caller, while it reads them, and
-// returns its error.
-func (histories *Histories) Transcript(ctx context.Context, program, workspace, id string, reserve func(bytes int64) error) ([][]byte, []budget.Charge, error) {
+// Transcript is what a turn needs of the chain that it continues. The zero value is that of
+// an empty chain.
+type Transcript struct {
+	texts   [][]byte
+	charges []budget.Charge
+	root    string
+}
+
+// NewTranscript returns a transcript with texts and charges, oldest first, and the root for
+// the next turn.
+func NewTranscript(texts [][]byte, charges []budget.Charge, root string) Transcript {
+	return Transcript{texts: texts, charges: charges, root: root}
+}
+
+// Texts returns the inputs and outputs, oldest first. They are shared and must not be changed.
+func (transcript Transcript) Texts() [][]byte { return transcript.texts }
+
+// Charges returns the charges of the last turns, oldest first.
+func (transcript Transcript) Charges() []budget.Charge { return transcript.charges }
+
+// Root returns Turn.Root for a turn that continues the chain.
+func (transcript Transcript) Root() string { return transcript.root }
+
+// Transcript returns the transcript of the chain that ends with the given turn. It calls
+// reserve with the bytes that it holds for the caller, while it reads them, and returns its
+// error.
+func (histories *Histories) Transcript(ctx context.Context, program, workspace, id string, reserve func(bytes int64) error) (Transcript, error) {
 	if turn, ok := histories.cache.get(id); ok && turn.Workspace != workspace {
-		return nil, nil, ErrNoTurn
+		return Transcript{}, ErrNoTurn
 	}
 	turns, missing := histories.cache.chain(id, nil)
 	if missing != "" {
 		var err error
 		if turns, err = histories.fetch(ctx, program, workspace, id, reserve); err != nil {
-			return nil, nil, err
+			return Transcript{}, err
 		}
 	} else if err := reserve(sizeOf(turns)); err != nil {
-		return nil, nil, err
+		return Transcript{}, err
 	}
-	transcript := make([][]byte, 0, 2*len(turns))
+	texts, root := make([][]byte, 0, 2*len(turns)), ""
 	for _, turn := range turns {
 		if turn.Workspace != workspace {
-			return nil, nil, ErrNoTurn
+			return Transcript{}, ErrNoTurn
 		}
-		transcript = append(transcript, turn.Input, turn.Output)
+		texts, root = append(texts, turn.Input, turn.Output), turn.Root
 	}
-	return transcript, lastCharges(turns), nil
+	return NewTranscript(texts, lastCharges(turns), root), nil
 }
 
 // maxCharges is the number of turns whose charges are passed on. The store lacks those
--- a/internal/history/histories_test.go
+++ b/internal/history/histories_test.go
@@ -131,10 +131,10 @@
 			Store: isolatedHost{}, Clock: clockwork.NewRealClock(), Logger: &log.Logger{Handler: discard.Default}, Peers: isolatedHost{}, Partitions: 8,
 			Memory: memory.NewBudget(1 << 20), Reachable: func(context.Context) bool { return reachable },
 		})
-		_, _, err := histories.Transcript(context.Background(), "p", "w", "unknown", unbounded)
+		_, err := histories.Transcript(context.Background(), "p", "w", "unknown", unbounded)
 		is.True(err != nil && !errors.Is(err, ErrNoTurn))
 		histories.CacheTurns([]Turn{{ID: "theirs", Workspace: "other", StoredMillis: time.Now().UnixMilli(), Retention: time.Minute}})
-		_, _, err = histories.Transcript(context.Background(), "p", "w", "theirs", unbounded)
+		_, err = histories.Transcript(context.Background(), "p", "w", "theirs", unbounded)
 		is.True(errors.Is(err, ErrNoTurn))
 	}
 }
--- a/internal/history/read_test.go
+++ b/internal/history/read_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -66,9 +67,9 @@
 			errs := make(chan error, chains)
 			for number := range chains {
 				reading.Go(func() {
-					texts, _, err := reader.Transcript(t.Context(), "p", "w", fmt.Sprintf("a%03d", number), unbounded)
-					if err == nil && string(texts[0]) != fmt.Sprint(number) {
-						err = fmt.Errorf("turn %d has the text %q", number, texts[0])
+					transcript, err := reader.Transcript(t.Context(), "p", "w", fmt.Sprintf("a%03d", number), unbounded)
+					if err == nil && string(transcript.Texts()[0]) != fmt.Sprint(number) {
+						err = fmt.Errorf("turn %d has the text %q", number, transcript.Texts()[0])
 					}
 					errs <- err
 				})
@@ -98,11 +99,33 @@
 		is.NoErr(stored.newHistories(t).Save(t.Context(), "p", Turn{ID: id, Previous: previous, Workspace: "w", Input: []byte(id), Retention: time.Minute}))
 		previous = id
 	}
-	texts, _, err := stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
+	transcript, err := stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
 	is.NoErr(err)
-	is.Equal(len(texts), 2*turns)
+	is.Equal(len(transcript.Texts()), 2*turns)
 	delete(stored.newest, rootPrefix+"a05")
-	_, _, err = stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
+	_, err = stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
 	is.True(err != nil)
 	is.True(err != ErrNoTurn) // the turn exists, but cannot be continued
 }
+
+// TestChainInOneSegment guards against a chain whose first turns expire before its last one,
+// because a host had no memory to cache a turn until the next one was stored: a sweep
+// deletes segments one by one.
+func TestChainInOneSegment(t *testing.T) {
+	is := is.New(t)
+	stored := &memoryStore{maxRecordBytes: 4096, maxAppendBytes: 64 << 10, newest: make(map[string][]byte)}
+	host := stored.newHistories(t)
+	previous := ""
+	for number := range 5 {
+		turn := Turn{ID: fmt.Sprint("a", number), Previous: previous, Workspace: "w", Input: []byte("in"), Retention: time.Minute}
+		if previous != "" {
+			transcript, err := host.Transcript(t.Context(), "p", "w", previous, unbounded)
+			is.NoErr(err)
+			turn.Root = transcript.Root()
+		}
+		host.Evict(math.MaxInt64)
+		is.NoErr(host.Save(t.Context(), "p", turn))
+		is.Equal(string(stored.newest[rootPrefix+turn.ID]), "a0")
+		previous = turn.ID
+	}
+}
--- a/internal/history/record_test.go
+++ b/internal/history/record_test.go
@@ -85,9 +85,9 @@
 	is.NoErr(writingHost.Save(context.Background(), "p", second))
 	is.True(errors.Is(writingHost.CheckStorable(t.Context(), 60<<10), ErrTooLarge))
 	readingHost := memory.newHistories(t)
-	transcript, _, err := readingHost.Transcript(context.Background(), "p", "w", "a2", unbounded)
+	transcript, err := readingHost.Transcript(context.Background(), "p", "w", "a2", unbounded)
 	is.NoErr(err)
-	is.True(bytes.Equal(bytes.Join(transcript, nil), bytes.Join([][]byte{first.Input, first.Output, second.Input, second.Output}, nil)))
+	is.True(bytes.Equal(bytes.Join(transcript.Texts(), nil), bytes.Join([][]byte{first.Input, first.Output, second.Input, second.Output}, nil)))
 	var records []store.Record
 	for key, value := range memory.newest {
 		records = append(records, store.Record{Key: key, Value: value})
@@ -110,15 +110,15 @@
 		host := memory.newHistories(t)
 		is.NoErr(host.Save(context.Background(), "p", Turn{ID: first, Workspace: "w", Input: []byte("1"), Retention: time.Minute}))
 		is.NoErr(host.Save(context.Background(), "p", Turn{ID: second, Previous: first, Workspace: "w", Input: []byte("2"), Retention: time.Minute}))
-		transcript, _, err := memory.newHistories(t).Transcript(context.Background(), "p", "w", second, unbounded)
+		transcript, err := memory.newHistories(t).Transcript(context.Background(), "p", "w", second, unbounded)
 		is.NoErr(err)
-		is.Equal(string(bytes.Join(transcript, nil)), "12")
+		is.Equal(string(bytes.Join(transcript.Texts(), nil)), "12")
 		var records []store.Record
 		for key, value := range memory.newest {
 			records = append(records, store.Record{Key: key, Value: value})
 		}
 		is.Equal(len(expiredKeys(records, time.Now())), 0)
-		_, _, err = memory.newHistories(t).Transcript(context.Background(), "p", "w", first+"?", unbounded)
+		_, err = memory.newHistories(t).Transcript(context.Background(), "p", "w", first+"?", unbounded)
 		is.True(first+"?" == second || errors.Is(err, ErrNoTurn))
 	})
 }
@@ -139,7 +139,7 @@
 	}
 	exhausted := errors.New("no memory")
 	reserved := int64(0)
-	_, _, err := memory.newHistories(t).Transcript(context.Background(), "p", "w", previous, func(bytes int64) error {
+	_, err := memory.newHistories(t).Transcript(context.Background(), "p", "w", previous, func(bytes int64) error {
 		if reserved += bytes; reserved > 15000 {
 			return exhausted
 		}
@@ -148,7 +148,7 @@
 	is.True(errors.Is(err, exhausted))
 	is.True(reserved < 20000) // it stops at once
 	reserved = 0
-	_, _, err = memory.newHistories(t).Transcript(context.Background(), "p", "w", previous, func(bytes int64) error {
+	_, err = memory.newHistories(t).Transcript(context.Background(), "p", "w", previous, func(bytes int64) error {
 		reserved += bytes
 		return nil
 	})
--- a/internal/history/region_test.go
+++ b/internal/history/region_test.go
@@ -53,7 +53,7 @@
 	ctx := region.NewContext(t.Context(), region.New("a", "r1", nil).Constrain([]string{"r1", "r2"}))
 	is.NoErr(histories.Save(ctx, "p", Turn{ID: "t-1", Workspace: "w", Input: []byte("in")}))
 	is.NoErr(histories.CheckStorable(ctx, 10))
-	_, _, err := histories.Transcript(ctx, "p", "w", "t-2", func(int64) error { return nil })
+	_, err := histories.Transcript(ctx, "p", "w", "t-2", func(int64) error { return nil })
 	is.Equal(err, ErrNoTurn)
 	is.Equal(confined.keys, map[string]string{"append": "in:r1,r2", "list": "in:r1,r2", "reachable": "in:r1,r2"})
 }
