--- a/internal/budget/load_test.go
+++ b/internal/budget/load_test.go
@@ -89,6 +89,15 @@
 			defer cancel()
 			_, err := coordinator.HandleReserve(short, ReservationRequest{ID: "older/1", Claim: Claim{Program: "q", Budget: 100, Tokens: 10}})
 			is.True(errors.Is(err, ErrLoading))
+			// A request that outlasts the coordinator's wait does not load the budget here.
+			longer, cancel := context.WithTimeout(t.Context(), loadWait+50*time.Millisecond)
+			defer cancel()
+			_, err = reserver.Reserve(longer, Claim{Program: "q", Budget: 100, Tokens: 10, TTL: time.Second})
+			is.True(err != nil)
+			partition := cluster.hosts[1].entryLog.partitions[cluster.hosts[1].entryLog.partitionOf("q")]
+			partition.mutex.Lock()
+			is.Equal(partition.loading, nil)
+			partition.mutex.Unlock()
 			served := false
 			for attempt := 0; !served && attempt < 200; attempt++ {
 				ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
