Ask the hosts that should have a chain before asking all

Cause: the coordinator of a program gets a copy of each turn from its own data centre, but not the turns before it. If it had no whole chain, FindChain asked every host.

Change: a copy says which host has run the turn, and so has read the whole chain. A host of the build before names nobody, and ignores the name.

--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -90,8 +90,14 @@
 // turnList is the response to methodFind and the request of methodPush.
 type turnList struct {
 	Turns []history.Turn `msgpack:"t,omitempty"`
+	// Holder is the address of a host that had read the turns before these. It is empty in a
+	// response with a whole chain.
+	Holder string `msgpack:"h,omitempty"`
 }
 
+// isWhole reports whether the turns are a chain from its first turn on.
+func (list turnList) isWhole() bool { return len(list.Turns) > 0 && list.Turns[0].Previous == "" }
+
 type releaseRequest struct {
 	Program string          `msgpack:"p"`
 	Charges []budget.Charge `msgpack:"x,omitempty"` // of kept turns
@@ -189,7 +195,11 @@
 			return storeResponse{Listing: listing}.withError(err)
 		}),
 		methodFind: unaryHandler(func(_ context.Context, request findRequest) (turnList, error) {
-			return turnList{Turns: operations.Chain(request.Workspace, request.ID)}, nil
+			found := turnList{Turns: operations.Chain(request.Workspace, request.ID)}
+			if len(found.Turns) > 0 && !found.isWhole() {
+				found.Holder = found.Turns[len(found.Turns)-1].Holder
+			}
+			return found, nil
 		}),
 		methodStored: unaryHandler(func(ctx context.Context, request storedRequest) (storedResponse, error) {
 			turns, err := operations.StoredSegment(ctx, request.Homes, request.Workspace, request.ID)
@@ -199,6 +209,9 @@
 			return storedResponse{Turns: turns}, err
 		}),
 		methodPush: unaryHandler(func(_ context.Context, copies turnList) (emptyResponse, error) {
+			for index := range copies.Turns {
+				copies.Turns[index].Holder = copies.Holder
+			}
 			operations.Push(copies.Turns)
 			return emptyResponse{}, nil
 		}),
@@ -294,7 +307,7 @@
 }
 
 const (
-	findTimeout        = 350 * time.Millisecond // a live host responds within a few milliseconds
+	findTimeout        = 300 * time.Millisecond // a live host responds within a few milliseconds
 	coordinatorTimeout = 60 * time.Millisecond
 	peerTimeout        = 400 * time.Millisecond
 	reserveTimeout     = 300 * time.Millisecond // two store calls and a round trip between hosts, with a margin
@@ -303,49 +316,6 @@
 	holderSilence      = 2 * time.Second // after which no caller's retries outlast the wait for a host's tokens
 )
 
-// FindChain implements history.Peers. It asks the program's coordinator in this
-// data centre first, because that host collects copies of the program's turns.
-func (mesh *Mesh) FindChain(ctx context.Context, program, workspace, id string, everywhere bool) []history.Turn {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	request := findRequest{workspace, id}
-	coordinator, self := mesh.coordinatorOf(program, mesh.self.DataCentre)
-	if !self {
-		coordinatorCtx, cancel := context.WithTimeout(ctx, coordinatorTimeout)
-		var response turnList
-		err := mesh.transport.Ask(coordinatorCtx, coordinator.Address, methodFind, request, &response)
-		cancel()
-		if err == nil && len(response.Turns) > 0 && response.Turns[0].Previous == "" {
-			return response.Turns
-		}
-	}
-	if !everywhere {
-		return nil
-	}
-	live := mesh.Reachable()
-	responses := make(chan []history.Turn, len(live))
-	for _, state := range live {
-		go func() {
-			var response turnList
-			if err := mesh.transport.Ask(ctx, state.Address, methodFind, request, &response); err != nil {
-				mesh.logger.WithError(err).WithField("peer", state.Host).Debug("looking up a turn on another host failed")
-			}
-			responses <- response.Turns
-		}()
-	}
-	var longest []history.Turn
-	for range live {
-		turns := <-responses
-		if len(turns) > len(longest) {
-			longest = turns
-		}
-		if len(longest) > 0 && longest[0].Previous == "" {
-			return longest
-		}
-	}
-	return longest
-}
-
 // PushTurns implements history.Peers. It sends copies of turns to the program's
 // coordinator in this data centre. A lost copy does no harm, because the turns
 // are already in the store.
@@ -358,7 +328,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
 		var response emptyResponse
-		if err := mesh.transport.Ask(ctx, coordinator.Address, methodPush, turnList{Turns: turns}, &response); err != nil {
+		if err := mesh.transport.Ask(ctx, coordinator.Address, methodPush, turnList{Turns: turns, Holder: mesh.self.Address}, &response); err != nil {
 			mesh.logger.WithError(err).WithFields(log.Fields{"peer": coordinator.Host, "program": program}).Debug("sending copies of turns to the coordinator failed")
 		}
 	}()
