Elect aggregators only when the candidates have changed

Cause: each host hashed and sorted all candidates every 250 ms, into new slices, whether any had changed or not.

Change: the result is kept with the candidates that it was computed from, and computed again when one of them differs in any field; the slice of candidates is used again.

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -76,9 +76,10 @@
 }
 
 // candidates returns the hosts that may aggregate: those that are alive, and those
-// discovered just now, from which this host may not have heard yet.
+// discovered just now, from which this host may not have heard yet. The next call reuses the
+// slice.
 func (view *View) candidates(now time.Time) []State {
-	var candidates []State
+	candidates := view.candidateStates[:0]
 	if !view.self.Stopping {
 		candidates = append(candidates, view.self)
 	}
@@ -88,15 +89,23 @@
 			candidates = append(candidates, member.State)
 		}
 	}
+	view.candidateStates = candidates
 	return candidates
 }
 
 // aggregators returns the hosts that aggregate, by name: in each data centre one for
-// each group, the hosts with the most processor time first.
+// each group, the hosts with the most processor time first. It remembers the result until the
+// candidates change. The caller must not change the map.
 func (view *View) aggregators(candidates []State) map[string]Member {
+	unchanged := slices.EqualFunc(view.electors, candidates, func(member Member, candidate State) bool { return member == candidate.Member })
+	if unchanged && view.elected != nil {
+		return view.elected
+	}
 	size := groupSize(len(candidates))
+	view.electors = view.electors[:0]
 	byDataCentre := make(map[string][]Member)
 	for _, candidate := range candidates {
+		view.electors = append(view.electors, candidate.Member)
 		byDataCentre[candidate.DataCentre] = append(byDataCentre[candidate.DataCentre], candidate.Member)
 	}
 	chosen := make(map[string]Member)
@@ -111,6 +120,7 @@
 			chosen[member.Host] = member
 		}
 	}
+	view.elected = chosen
 	return chosen
 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -112,7 +112,10 @@
 	upstreamSummary  Summary
 	resync           bool // the list of this host differs from that of its aggregator
 	aggregating      bool
-	probeAt          int // position of the next unreachable host to call
+	elected          map[string]Member // aggregators among candidates, by name
+	electors         []Member          // the candidates
+	candidateStates  []State           // of the last interval
+	probeAt          int               // position of the next unreachable host to call
 	alive            []*member
 	generation       uint64 // changes with the hosts that are alive or stopping
 	refreshedAt      time.Time
