--- a/internal/budget/load_test.go
+++ b/internal/budget/load_test.go
@@ -114,3 +114,27 @@
 		})
 	}
 }
+
+// TestReleaseWithoutLoad guards against a host that loads a partition to return what it
+// holds: another host waits for the answer.
+func TestReleaseWithoutLoad(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(t, 2)
+	host := cluster.hosts[0]
+	reservation, err := host.Reserve(t.Context(), Claim{Program: "p", Budget: 100, Tokens: 60})
+	is.NoErr(err)
+	reservation.Settle(10)
+	partition := host.entryLog.partitions[host.entryLog.partitionOf("p")]
+	partition.mutex.Lock()
+	partition.next = -1 // the records after the last read were trimmed
+	partition.mutex.Unlock()
+	slow := &slowListing{memoryStore: cluster.store}
+	host.entryLog.store = slow
+	returned, err := host.Release(t.Context(), "p", nil)
+	is.NoErr(err)
+	is.True(returned > 0)
+	is.Equal(slow.listings, 0)
+	// The other host counts what was returned.
+	_, err = cluster.hosts[1].Reserve(t.Context(), Claim{Program: "p", Budget: 100, Tokens: 90})
+	is.NoErr(err)
+}
--- a/internal/history/read_test.go
+++ b/internal/history/read_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/godwitspread/godwitspread/internal/memory"
@@ -129,3 +130,36 @@
 		previous = turn.ID
 	}
 }
+
+// lookups implements Peers without turns. It records whether all hosts were to be asked.
+type lookups struct {
+	isolatedHost
+	everywhere []bool
+}
+
+func (lookups *lookups) FindChain(_ context.Context, _, _, _ string, everywhere bool) []Turn {
+	lookups.everywhere = append(lookups.everywhere, everywhere)
+	return nil
+}
+
+// TestLookupsAfterStart guards against hosts that ask all others for each turn after the loss
+// of all hosts, and against not asking them while the store does not respond.
+func TestLookupsAfterStart(t *testing.T) {
+	is := is.New(t)
+	clock, peers, reachable := clockwork.NewFakeClock(), &lookups{}, true
+	stored := &memoryStore{maxRecordBytes: 4096, maxAppendBytes: 64 << 10, newest: make(map[string][]byte)}
+	host := stored.newHistories(t)
+	host.clock, host.startedAt, host.peers = clock, clock.Now(), peers
+	host.reachable = func(context.Context) bool { return reachable }
+	lookUp := func() {
+		_, err := host.Transcript(t.Context(), "p", "w", "t", unbounded)
+		is.True(err != nil)
+	}
+	lookUp()
+	reachable = false
+	lookUp()
+	reachable = true
+	clock.Advance(emptyTime)
+	lookUp()
+	is.Equal(peers.everywhere, []bool{false, true, true})
+}
