--- a/internal/history/read_test.go
+++ b/internal/history/read_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"sync"
@@ -103,10 +104,13 @@
 	transcript, err := stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
 	is.NoErr(err)
 	is.Equal(len(transcript.Texts()), 2*turns)
-	delete(stored.newest, rootPrefix+"a05")
-	_, err = stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
-	is.True(err != nil)
-	is.True(err != ErrNoTurn) // the turn exists, but cannot be continued
+	// The last turn exists, but cannot be continued.
+	for _, key := range []string{turnPrefix + "a05/a05", rootPrefix + "a05"} {
+		delete(stored.newest, key)
+		_, err = stored.newHistories(t).Transcript(t.Context(), "p", "w", previous, unbounded)
+		is.True(err != nil)
+		is.True(!errors.Is(err, ErrNoTurn))
+	}
 }
 
 // TestChainInOneSegment guards against a chain whose first turns expire before its last one,
