Notice turns that continue themselves

Callers see: a caller that uses the ID of a turn again for one that continues it stops the host for all requests with kept turns.

Cause: turnCache.chain follows Previous to the beginning of the chain, with the lock of the cache held. In a cycle it never ends.

Evidence: history.TestCycle does not end on the code before (stopped after 10 s).

--- a/internal/history/cache.go
+++ b/internal/history/cache.go
@@ -131,11 +131,18 @@
 
 // chain returns the turns of the chain that ends with the given turn, oldest
 // first, and the ID of the first turn that is neither cached nor among the given ones, if
-// any.
+// any. A turn that continues itself, because a caller has used an ID twice, counts as missing.
 func (cache *turnCache) chain(id string, loaded map[string]*Turn) (turns []*Turn, missing string) {
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
+	last, checked := id, ""
 	for id != "" {
+		if id == checked {
+			return nil, last
+		}
+		if count := len(turns); count&(count-1) == 0 { // with growing distance, so that any cycle is noticed
+			checked = id
+		}
 		turn, ok := cache.turns[id]
 		if !ok {
 			turn, ok = loaded[id]
--- a/internal/history/read.go
+++ b/internal/history/read.go
@@ -131,6 +131,9 @@
 		return turns, missing, ErrNotDurable
 	}
 	wanted := missing
+	if loaded[wanted] != nil {
+		return turns, wanted, errCycle
+	}
 	if err := histories.loadSegment(ctx, workspace, wanted, loaded, reserve); err != nil {
 		return turns, wanted, err
 	}
@@ -142,6 +145,9 @@
 	return turns, missing, nil
 }
 
+// errCycle is returned for a turn that continues itself.
+var errCycle = errors.New("turn is among the turns that it continues")
+
 func (histories *Histories) endRead() { <-histories.reads }
 
 // cacheNeighbours caches the turns of a page that belong to other chains than the one with
--- a/internal/history/read_test.go
+++ b/internal/history/read_test.go
@@ -167,3 +167,25 @@
 	lookUp()
 	is.Equal(peers.everywhere, []bool{false, true, true})
 }
+
+// TestCycle guards against a host that hangs, because a caller has used the ID of a turn
+// again for one that continues it.
+func TestCycle(t *testing.T) {
+	for _, length := range []int{1, 2, 3, 7} {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			is := is.New(t)
+			stored := &memoryStore{maxRecordBytes: 4096, maxAppendBytes: 64 << 10, newest: make(map[string][]byte)}
+			writer := stored.newHistories(t)
+			for number := range length {
+				id, previous := fmt.Sprint("a", number), fmt.Sprint("a", (number+length-1)%length)
+				is.NoErr(writer.Save(t.Context(), "p", Turn{ID: id, Previous: previous, Root: "a0", Workspace: "w", Retention: time.Minute}))
+			}
+			is.NoErr(writer.Save(t.Context(), "p", Turn{ID: "b", Previous: "a0", Root: "a0", Workspace: "w", Retention: time.Minute}))
+			for _, host := range []*Histories{writer, stored.newHistories(t)} {
+				is.Equal(len(host.CachedChain("w", "b")), 0)
+				_, err := host.Transcript(t.Context(), "p", "w", "b", unbounded)
+				is.True(errors.Is(err, errCycle))
+			}
+		})
+	}
+}
