Bound the calls for a chain at coordinators

A host that a coordinator names may be a coordinator itself and name another one. Found while reading the change; the goroutine of a call beyond the buffer would not have ended.

--- a/internal/mesh/chains.go
+++ b/internal/mesh/chains.go
@@ -26,11 +26,12 @@
 func (mesh *Mesh) findAtCoordinators(ctx context.Context, dataCentres []string, program string, request findRequest) []history.Turn {
 	ctx, cancel := context.WithTimeout(ctx, 2*coordinatorTimeout)
 	defer cancel()
+	maxCalls := 2 * len(dataCentres) // a coordinator and another host each
 	asked := map[string]bool{mesh.self.Address: true}
-	responses := make(chan turnList, 2*len(dataCentres))
+	responses := make(chan turnList, maxCalls)
 	running := 0
 	ask := func(address string) {
-		if address == "" || asked[address] {
+		if address == "" || asked[address] || len(asked) > maxCalls {
 			return
 		}
 		asked[address] = true
