--- a/internal/history/cache.go
+++ b/internal/history/cache.go
@@ -30,8 +30,8 @@
 	// Charge is what the turn has generated of its program's budget, if it has one.
 	// Hosts that continue the turn tell the store if the host that counted it is lost.
 	Charge *budget.Charge `msgpack:"b,omitempty"`
-	// Holder is the address of the host that has sent this host a copy of the turn, and that
-	// had read the turns before it. It is neither stored nor passed on with the turn.
+	// Holder is the address of the host that has run the turn, and so has read the turns before
+	// it, if that host has sent a copy here. It is neither stored nor passed on with the turn.
 	Holder string `msgpack:"-"`
 }
 
--- a/internal/history/histories.go
+++ b/internal/history/histories.go
@@ -115,9 +115,9 @@
 	return nil
 }
 
-// Save makes a turn durable. A turn that continues another one should have the root of its
-// transcript. Only hosts that the constraint of the context allows see its texts. The response to a turn must not end before Save
-// has returned without an error.
+// Save makes a turn durable. The root of a turn that continues another one should be that of
+// its transcript. Only hosts that the constraint of the context allows see its texts. The
+// response to a turn must not end before Save has returned without an error.
 func (histories *Histories) Save(ctx context.Context, program string, turn Turn) error {
 	turn.StoredMillis = histories.clock.Now().UnixMilli()
 	if turn.Root == "" {
