--- a/internal/budget/load_test.go
+++ b/internal/budget/load_test.go
@@ -138,3 +138,24 @@
 	_, err = cluster.hosts[1].Reserve(t.Context(), Claim{Program: "p", Budget: 100, Tokens: 90})
 	is.NoErr(err)
 }
+
+// TestTurnGivenUpDuringLoad guards against tokens that belong to nobody, because the request
+// for which they were held ended while the partition was loaded.
+func TestTurnGivenUpDuringLoad(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(t, 2)
+	slow := &slowListing{memoryStore: cluster.store, delay: 100 * time.Millisecond}
+	host := cluster.hosts[0]
+	host.entryLog.store = slow
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	claim := Claim{Program: "p", Budget: 100, Tokens: 60}
+	_, err := host.Reserve(short, claim)
+	is.True(err != nil)
+	is.NoErr(host.entryLog.awaitLoad(t.Context(), host.entryLog.partitionOf("p")))
+	for _, other := range []*Allocator{host, cluster.hosts[1]} { // here, and after a recall
+		reservation, err := other.Reserve(t.Context(), claim)
+		is.NoErr(err)
+		reservation.Settle(0)
+	}
+}
