Publish targets of a test with their own version only

Cause, in the test: a new engine was started with the version "v1" by default and written to the store, and then given its version and written again. A host that sent the rest of a stream in between believed the entry, as it must; no target of the platform says another version than it has.

--- a/internal/gateway/cuts_soak_test.go
+++ b/internal/gateway/cuts_soak_test.go
@@ -114,9 +114,14 @@
 	}
 }
 
-// setUp gives an engine a version, makes it break off a fifth of its streams, and
-// registers it.
+// setUp sets up an engine and writes its entry again.
 func (soak *soak) setUp(engine *standin.Target, version string) {
+	soak.configure(engine, version)
+	soak.store.Put("keyed.servers", engine.ID, engine.Entry("ready"))
+}
+
+// configure gives an engine a version, and makes it break off a fifth of its streams.
+func (soak *soak) configure(engine *standin.Target, version string) {
 	engine.Version, engine.Work, engine.Comments = version, 5*time.Millisecond, true
 	engine.SetBehaviour(func(standin.Run) standin.Behaviour {
 		if soak.number(5) == 0 {
@@ -124,7 +129,6 @@
 		}
 		return standin.Normal
 	})
-	soak.store.Put("keyed.servers", engine.ID, engine.Entry("ready"))
 }
 
 func (soak *soak) number(limit int) int {
@@ -254,10 +258,11 @@
 		soak.mutex.Lock()
 		version, id := fmt.Sprintf("v%d", soak.number(3)+1), fmt.Sprintf("e-%d", len(soak.engines))
 		leaving := soak.engines[len(soak.engines)-3]
-		engine := soak.target(id, "engines", eventsPerStream)
+		engine := &standin.Target{ID: id, Service: "engines", DataCentre: "dc-1", Events: eventsPerStream}
+		soak.configure(engine, version)
 		soak.engines = append(soak.engines, engine)
+		soak.startTarget(engine)
 		soak.mutex.Unlock()
-		soak.setUp(engine, version)
 		soak.store.Put("keyed.servers", leaving.ID, leaving.Entry("draining"))
 	}
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -120,11 +120,16 @@
 
 func (fleet *fleet) target(id, service string, events int) *standin.Target {
 	target := &standin.Target{ID: id, Service: service, DataCentre: "dc-1", Events: events, Work: 2 * time.Millisecond}
+	fleet.startTarget(target)
+	return target
+}
+
+// startTarget starts a target and writes its entry, which must not say another version before.
+func (fleet *fleet) startTarget(target *standin.Target) {
 	if err := target.Start("127.0.0.1:0"); err != nil {
 		fleet.t.Fatal(err)
 	}
-	fleet.store.Put("keyed.servers", id, target.Entry("ready"))
-	return target
+	fleet.store.Put("keyed.servers", target.ID, target.Entry("ready"))
 }
 
 // publish writes the configuration as a new version.
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -38,10 +38,9 @@
 const entryPropagation = 500 * time.Millisecond
 
 func (fleet *fleet) addEngine(id, version string) {
-	engine := fleet.target(id, "engines", eventsPerStream)
-	engine.Version = version
+	engine := &standin.Target{ID: id, Service: "engines", DataCentre: "dc-1", Events: eventsPerStream, Work: 2 * time.Millisecond, Version: version}
 	fleet.engines = append(fleet.engines, engine)
-	fleet.store.Put("keyed.servers", id, engine.Entry("ready"))
+	fleet.startTarget(engine)
 }
 
 // versionsOf returns the software versions of the targets that ran attempts.
